--- /dev/null
+++ b/cmd/comethold/main.go
@@ -0,0 +1,14 @@
+// Command comethold is a search front over sharded indexes.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "comethold:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/comethold/run.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"comethold/internal/event"
+	"comethold/internal/registrar"
+	"comethold/internal/settings"
+	"comethold/internal/switchboard"
+
+	"github.com/oklog/run"
+)
+
+// Garbage collection: more memory for less processor time, within a bound.
+const (
+	gcPercent   = 200
+	memoryShare = 0.6 // of the limit, at which collection turns eager
+	watchEvery  = 2 * time.Second
+)
+
+// start loads the settings and runs a program until it ends.
+func start(program func(*settings.Settings, string, *event.Log) error) error {
+	path, err := settings.Path()
+	if err != nil {
+		return err
+	}
+	set, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	if set.Limits.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMb<<20) * memoryShare))
+	}
+	log := event.New(set.NodeName, os.Args[1])
+	log.SetLevel(set.Log.Level)
+	log.Info(event.Started).Str("zone", set.AvailabilityZone).Str("version", version).Msg("started")
+	err = program(set, path, log)
+	if err != nil {
+		log.Error(event.Failed).Err(err).Msg("failed")
+		return err
+	}
+	log.Info(event.Stopped).Msg("stopped")
+	return nil
+}
+
+// serve adds an HTTP server on an address of our own.
+func serve(g *run.Group, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("cannot listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10}
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	})
+	return nil
+}
+
+// attend adds the handling of signals and of changes of the settings file.
+// leave is called on SIGTERM and returns when the program may end.
+func attend(g *run.Group, path string, log *event.Log, reload func(*settings.Settings), leave func()) {
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	quit := make(chan struct{})
+	last, _ := os.ReadFile(path)
+	again := func(why string) {
+		raw, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(raw, last) {
+			if err == nil || why == "change" {
+				return
+			}
+		}
+		last = raw
+		set, err := settings.Parse(raw)
+		if err != nil {
+			log.Error(event.SettingsRefused).Err(err).Str("why", why).Msg("the new settings are refused; the old ones stay")
+			return
+		}
+		reload(set)
+		log.SetLevel(set.Log.Level)
+		log.Info(event.SettingsReloaded).Str("why", why).Msg("settings reloaded")
+	}
+	g.Add(func() error {
+		t := time.NewTicker(watchEvery)
+		defer t.Stop()
+		for {
+			select {
+			case s := <-sig:
+				if s == syscall.SIGHUP {
+					again("signal")
+					continue
+				}
+				log.Info(event.Stopping).Stringer("signal", s).Msg("stopping")
+				leave()
+				return nil
+			case <-t.C:
+				again("change")
+			case <-quit:
+				return nil
+			}
+		}
+	}, func(error) { close(quit) })
+}
+
+func runRegistrar(set *settings.Settings, path string, log *event.Log) error {
+	if set.Listen.ControlPlane == "" || set.DataDirectory == "" {
+		return errors.New("settings: a registrar needs listenAddresses.controlPlane and dataDirectory")
+	}
+	r, err := registrar.New(set, log)
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	g.Add(r.Run, func(error) { r.Stop() })
+	if err := serve(&g, set.Listen.ControlPlane, r.Operator()); err != nil {
+		return err
+	}
+	if err := serve(&g, registrar.InnerAddress(set), r.Inner()); err != nil {
+		return err
+	}
+	attend(&g, path, log, r.Reload, func() {})
+	return g.Run()
+}
+
+func runSwitch(set *settings.Settings, path string, log *event.Log) error {
+	if set.Listen.Frontend == "" || set.Listen.Readiness == "" {
+		return errors.New("settings: a switch needs listenAddresses.frontend and listenAddresses.readiness")
+	}
+	s := switchboard.New(set, log)
+	var g run.Group
+	front, err := net.Listen("tcp4", set.Listen.Frontend)
+	if err != nil {
+		return fmt.Errorf("cannot listen: %w", err)
+	}
+	udp, err := net.ListenPacket("udp4", switchboard.InnerAddress(set))
+	if err != nil {
+		return fmt.Errorf("cannot listen: %w", err)
+	}
+	leave := func(error) { s.Leave() }
+	g.Add(func() error { return s.Serve(front) }, leave)
+	g.Add(s.Feed, leave)
+	g.Add(s.Sweep, leave)
+	g.Add(func() error { return s.Beat(udp) }, leave)
+	if err := serve(&g, set.Listen.Readiness, s.Readiness()); err != nil {
+		return err
+	}
+	if err := serve(&g, switchboard.InnerAddress(set), s.Inner()); err != nil {
+		return err
+	}
+	attend(&g, path, log, s.Reload, s.Leave)
+	return g.Run()
+}
--- /dev/null
+++ b/internal/cell/member.go
@@ -0,0 +1,751 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// Role is the explicit state of a member.
+type Role uint8
+
+// Roles: Listening follows a proposer, Bidding asks for promises, Leading is
+// the distinguished proposer.
+const (
+	Listening Role = iota
+	Bidding
+	Leading
+)
+
+func (r Role) String() string { return [...]string{"listening", "bidding", "leading"}[r] }
+
+type flight struct {
+	entry  Entry
+	acks   map[MemberID]bool
+	chosen bool
+	sentAt time.Duration
+}
+
+// Member is one member of one cell.
+type Member struct {
+	p  Params
+	st state
+
+	promised Ballot
+	log      map[uint64]*Entry
+	base     uint64 // positions up to here have been compacted away
+	applied  uint64
+	logBytes int
+
+	role     Role
+	since    time.Duration // of the current role
+	ballot   Ballot
+	maxRound uint64
+	next     uint64
+	promises map[MemberID]bool
+	adopt    map[uint64]Entry
+	flights  map[uint64]*flight
+	queue    []Txn
+	waiting  map[string]bool
+
+	leader   MemberID
+	heardAt  time.Duration
+	deadline time.Duration
+	askedAt  time.Duration
+	asked    bool
+
+	seq       uint64
+	beatAt    time.Duration
+	firstBeat uint64 // the first beat of the current ballot
+	acked     map[MemberID]uint64
+	ackedAt   map[MemberID]time.Duration
+	learnt    map[MemberID]uint64
+	learners  []MemberID
+	reads     map[uint64][]uint64
+
+	out Output
+}
+
+// New makes a member from what its disk holds. A voter of a new cell starts
+// with a snapshot at position 0 that holds the first membership.
+func New(p Params, s Saved, now time.Duration) *Member {
+	m := &Member{p: p, log: map[uint64]*Entry{}, promised: s.Promised, maxRound: s.Promised.Round,
+		waiting: map[string]bool{}, acked: map[MemberID]uint64{}, ackedAt: map[MemberID]time.Duration{},
+		learnt: map[MemberID]uint64{}, reads: map[uint64][]uint64{}}
+	m.st.kv = map[string]Value{}
+	if s.Snap != nil {
+		m.load(s.Snap)
+	}
+	sort.Slice(s.Entries, func(i, j int) bool { return s.Entries[i].Slot < s.Entries[j].Slot })
+	for i := range s.Entries {
+		m.keep(s.Entries[i])
+	}
+	for m.applied < s.Chosen && m.log[m.applied+1] != nil {
+		m.applyNext()
+	}
+	m.listen(now)
+	return m
+}
+
+func (m *Member) load(s *Snapshot) {
+	m.st.kv = make(map[string]Value, len(s.State))
+	for k, v := range s.State {
+		m.st.kv[k] = v
+	}
+	m.st.memberships = append([]Membership(nil), s.Memberships...)
+	m.base, m.applied = s.Applied, s.Applied
+	for slot, e := range m.log {
+		if slot <= s.Applied {
+			m.logBytes -= entrySize(e)
+			delete(m.log, slot)
+		}
+	}
+}
+
+func (m *Member) keep(e Entry) {
+	if old := m.log[e.Slot]; old != nil {
+		m.logBytes -= entrySize(old)
+	}
+	c := e
+	m.log[e.Slot] = &c
+	m.logBytes += entrySize(&c)
+}
+
+// Take hands over what the member wants done since the last call.
+func (m *Member) Take() Output {
+	o := m.out
+	o.Writes.Chosen = m.applied
+	m.out = Output{}
+	return o
+}
+
+// Views of a member.
+
+// Role returns the member's state.
+func (m *Member) Role() Role { return m.role }
+
+// Self returns the member's own name.
+func (m *Member) Self() MemberID { return m.p.Self }
+
+// Leader returns the proposer that the member knows of, or "".
+func (m *Member) Leader() MemberID { return m.leader }
+
+// Applied returns the last log position that the state includes.
+func (m *Member) Applied() uint64 { return m.applied }
+
+// Get returns a value of the applied state: a consistent prefix, maybe old.
+func (m *Member) Get(key string) (Value, bool) { v, ok := m.st.kv[key]; return v, ok }
+
+// Keys returns the keys of the applied state in order.
+func (m *Member) Keys() []string { return sortedKeys(m.st.kv) }
+
+// Seats returns the newest membership and whether it is in effect.
+func (m *Member) Seats() ([]Seat, bool) {
+	l := m.st.latest()
+	return l.Seats, l.From <= m.applied+1
+}
+
+// Voter reports whether the member votes on the next position.
+func (m *Member) Voter() bool { return m.st.at(m.applied + 1).Has(m.p.Self) }
+
+// Learnt returns how far another member is known to have applied.
+func (m *Member) Learnt(id MemberID) uint64 { return m.learnt[id] }
+
+// SetLearners names members without a vote that are to be kept current.
+func (m *Member) SetLearners(ids []MemberID) { m.learners = ids }
+
+// Fresh reports how long ago the member last knew that it was current: a
+// proposer by the acknowledgements of a majority, others by their proposer.
+func (m *Member) Fresh(now time.Duration) time.Duration {
+	if m.role == Leading {
+		return now - m.majorityAt()
+	}
+	if m.leader == "" {
+		return now + time.Hour
+	}
+	return now - m.heardAt
+}
+
+func (m *Member) majorityAt() time.Duration {
+	seats := m.st.at(m.applied + 1).Seats
+	var ts []time.Duration
+	for _, s := range seats {
+		t := m.ackedAt[s.ID]
+		ts = append(ts, t)
+	}
+	if len(ts) == 0 {
+		return 0
+	}
+	sort.Slice(ts, func(i, j int) bool { return ts[i] > ts[j] })
+	return ts[len(ts)/2]
+}
+
+// Changes of state, one function each.
+
+func (m *Member) listen(now time.Duration) {
+	if m.role == Leading {
+		for _, t := range m.queue {
+			m.finish(Outcome{ID: t.ID, Lost: true})
+		}
+	}
+	m.role, m.since = Listening, now
+	m.queue, m.flights, m.promises, m.adopt = nil, nil, nil, nil
+	m.reads = map[uint64][]uint64{}
+	m.deadline = now + m.p.Patience + time.Duration(m.p.Jitter()*float64(m.p.Patience))
+}
+
+func (m *Member) bid(now time.Duration) {
+	m.role, m.since = Bidding, now
+	m.leader = ""
+	m.maxRound++
+	m.ballot = Ballot{Round: m.maxRound, By: m.p.Self}
+	m.promises, m.adopt, m.flights = map[MemberID]bool{}, map[uint64]Entry{}, map[uint64]*flight{}
+	m.deadline = now + m.p.Patience + time.Duration(m.p.Jitter()*float64(m.p.Patience))
+	for slot := m.applied + 1; slot <= m.applied+m.p.Alpha; slot++ {
+		m.sendPrepare(slot)
+	}
+	m.tryLead(now)
+}
+
+// tryLead goes on to lead when a majority of every membership that the open
+// positions may need has promised. Our own promise comes last: while others
+// still hear their proposer we stay free to follow it.
+func (m *Member) tryLead(now time.Duration) {
+	for _, own := range []bool{true, false} {
+		for s := m.applied + 1; s <= m.applied+m.p.Alpha; s++ {
+			if !majority(m.st.at(s), func(id MemberID) bool { return m.promises[id] || (own && id == m.p.Self) }) {
+				m.sendPrepare(s)
+				return
+			}
+		}
+		if _, done := m.promises[m.p.Self]; !done && own {
+			m.promises[m.p.Self] = false
+			m.send(Message{Kind: Prepare, To: m.p.Self, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+	m.lead(now)
+}
+
+func (m *Member) lead(now time.Duration) {
+	m.role, m.since = Leading, now
+	m.leader = m.p.Self
+	m.next = m.applied + 1
+	m.firstBeat = m.seq + 1
+	for _, s := range m.st.at(m.next).Seats {
+		m.ackedAt[s.ID] = now // the promises just came in
+	}
+	m.pump(now)
+	m.beat(now)
+}
+
+// follow takes note of a proposer whose ballot is not behind our promise.
+func (m *Member) follow(b Ballot, now time.Duration) {
+	if m.role != Listening && b.By != m.p.Self {
+		m.listen(now)
+	}
+	if m.promised.Less(b) {
+		m.promise(b)
+	}
+	m.leader, m.heardAt = b.By, now
+	if m.role == Listening {
+		m.deadline = now + m.p.Patience + time.Duration(m.p.Jitter()*float64(m.p.Patience))
+	}
+}
+
+func (m *Member) promise(b Ballot) {
+	m.promised = b
+	if b.Round > m.maxRound {
+		m.maxRound = b.Round
+	}
+	c := b
+	m.out.Writes.Promised = &c
+}
+
+// Tick lets time pass.
+func (m *Member) Tick(now time.Duration) {
+	switch m.role {
+	case Leading:
+		if now-m.majorityAt() > m.p.Patience {
+			m.leader = ""
+			m.listen(now)
+			return
+		}
+		if now-m.beatAt >= m.p.Beat {
+			m.resend(now)
+			m.pump(now)
+			m.beat(now)
+		}
+	case Bidding, Listening:
+		if now >= m.deadline {
+			m.leader = ""
+			if m.Voter() {
+				m.bid(now)
+			} else {
+				m.listen(now)
+			}
+		}
+	}
+}
+
+// Propose queues a transaction; its Outcome comes with a later Output.
+func (m *Member) Propose(now time.Duration, t Txn) error {
+	if m.role != Leading {
+		return ErrNotProposer
+	}
+	if len(m.queue) >= m.p.MaxQueue {
+		return ErrBusy
+	}
+	m.queue = append(m.queue, t)
+	m.waiting[t.ID] = true
+	m.pump(now)
+	return nil
+}
+
+// Read asks for a moment at which the applied state is known to be current:
+// the ticket comes back in Output.Reads once a majority confirms the proposer.
+func (m *Member) Read(now time.Duration, ticket uint64) error {
+	if m.role != Leading || m.next == 0 {
+		return ErrNotProposer
+	}
+	if len(m.adopt) > 0 && m.applied < m.maxAdopt() {
+		return ErrBusy // what an earlier proposer chose is not all applied yet
+	}
+	m.beat(now)
+	m.reads[m.seq] = append(m.reads[m.seq], ticket)
+	return nil
+}
+
+func (m *Member) maxAdopt() uint64 {
+	var top uint64
+	for s := range m.adopt {
+		if s > top {
+			top = s
+		}
+	}
+	return top
+}
+
+// Forget drops interest in a transaction's outcome.
+func (m *Member) Forget(id string) { delete(m.waiting, id) }
+
+func (m *Member) finish(o Outcome) {
+	if m.waiting[o.ID] {
+		delete(m.waiting, o.ID)
+		m.out.Done = append(m.out.Done, o)
+	}
+}
+
+func (m *Member) send(msg Message) {
+	msg.Cell, msg.From = m.p.Cell, m.p.Self
+	m.out.Send = append(m.out.Send, msg)
+}
+
+func (m *Member) sendPrepare(slot uint64) {
+	for _, s := range m.st.at(slot).Seats {
+		if _, done := m.promises[s.ID]; !done && s.ID != m.p.Self {
+			m.promises[s.ID] = false
+			m.send(Message{Kind: Prepare, To: s.ID, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+}
+
+func majority(ms Membership, has func(MemberID) bool) bool {
+	n := 0
+	for _, s := range ms.Seats {
+		if has(s.ID) {
+			n++
+		}
+	}
+	return len(ms.Seats) > 0 && n > len(ms.Seats)/2
+}
+
+// pump proposes while the pipeline of alpha positions has room.
+func (m *Member) pump(now time.Duration) {
+	if m.role != Leading {
+		return
+	}
+	top := m.maxAdopt()
+	for m.next <= m.applied+m.p.Alpha {
+		ms := m.st.at(m.next)
+		if !ms.Has(m.p.Self) && m.next == m.applied+1 {
+			m.leader = ""
+			m.listen(now) // moved out of the cell
+			return
+		}
+		if !majority(ms, func(id MemberID) bool { return m.promises[id] }) {
+			m.sendPrepare(m.next)
+			return
+		}
+		e := Entry{Slot: m.next, Ballot: m.ballot}
+		if a, ok := m.adopt[m.next]; ok {
+			e.Txns = a.Txns
+		} else if m.next > top {
+			if len(m.queue) == 0 {
+				return
+			}
+			n := min(len(m.queue), m.p.MaxBatch)
+			e.Txns = append([]Txn(nil), m.queue[:n]...)
+			m.queue = m.queue[n:]
+		}
+		m.flights[m.next] = &flight{entry: e, acks: map[MemberID]bool{}, sentAt: now}
+		m.next++
+		m.sendAccept(e, ms, nil)
+	}
+}
+
+func (m *Member) sendAccept(e Entry, ms Membership, acked map[MemberID]bool) {
+	msg := Message{Kind: Accept, Ballot: m.ballot, Chosen: m.applied, Entries: []Entry{e}}
+	for _, s := range ms.Seats {
+		if !acked[s.ID] {
+			msg.To = s.ID
+			m.send(msg)
+		}
+	}
+	for _, id := range m.learners {
+		if !ms.Has(id) && !acked[id] {
+			msg.To = id
+			m.send(msg)
+		}
+	}
+}
+
+func (m *Member) resend(now time.Duration) {
+	for slot := m.applied + 1; slot < m.next; slot++ {
+		if f := m.flights[slot]; f != nil && !f.chosen && now-f.sentAt >= m.p.Beat {
+			f.sentAt = now
+			m.sendAccept(f.entry, m.st.at(slot), f.acks)
+		}
+	}
+	for id, ok := range m.promises {
+		if !ok {
+			m.send(Message{Kind: Prepare, To: id, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+}
+
+func (m *Member) beat(now time.Duration) {
+	m.seq++
+	m.beatAt = now
+	msg := Message{Kind: Beat, Ballot: m.ballot, Chosen: m.applied, Seq: m.seq}
+	ms := m.st.at(m.applied + 1)
+	seen := map[MemberID]bool{}
+	tell := func(id MemberID) {
+		if !seen[id] && id != m.p.Self {
+			seen[id] = true
+			msg.To = id
+			m.send(msg)
+		}
+	}
+	for _, s := range ms.Seats {
+		tell(s.ID)
+	}
+	for _, s := range m.st.latest().Seats {
+		tell(s.ID)
+	}
+	for _, id := range m.learners {
+		tell(id)
+	}
+	m.ackedBeat(m.p.Self, m.seq, now)
+}
+
+func (m *Member) ackedBeat(id MemberID, seq uint64, now time.Duration) {
+	if seq > m.acked[id] {
+		m.acked[id] = seq
+		m.ackedAt[id] = now
+	}
+	if len(m.reads) == 0 {
+		return
+	}
+	ms := m.st.at(m.applied + 1)
+	for s, tickets := range m.reads {
+		if majority(ms, func(id MemberID) bool { return m.acked[id] >= s }) {
+			m.out.Reads = append(m.out.Reads, tickets...)
+			delete(m.reads, s)
+		}
+	}
+}
+
+// Step takes in a message.
+func (m *Member) Step(now time.Duration, msg Message) {
+	if msg.To != m.p.Self || msg.Cell != m.p.Cell {
+		return
+	}
+	switch msg.Kind {
+	case Prepare:
+		m.onPrepare(now, msg)
+	case Promise:
+		m.onPromise(now, msg)
+	case Reject:
+		m.onReject(now, msg)
+	case Accept:
+		m.onAccept(now, msg)
+	case Accepted:
+		m.onAccepted(now, msg)
+	case Beat:
+		m.onBeat(now, msg)
+	case BeatAck:
+		if m.role == Leading && msg.Ballot == m.ballot && msg.Seq >= m.firstBeat {
+			m.learnt[msg.From] = msg.Chosen
+			m.ackedBeat(msg.From, msg.Seq, now)
+		}
+	case Ask:
+		m.onAsk(msg)
+	case Teach:
+		m.onTeach(now, msg)
+	}
+}
+
+func (m *Member) reject(to MemberID) {
+	m.send(Message{Kind: Reject, To: to, Ballot: m.promised, Chosen: m.applied})
+}
+
+func (m *Member) onPrepare(now time.Duration, msg Message) {
+	if msg.Ballot.Less(m.promised) {
+		m.reject(msg.From)
+		return
+	}
+	// A proposer that is heard keeps its place: a member that comes back from
+	// a cut does not unseat it.
+	heard := m.leader != "" && m.leader != msg.Ballot.By && m.Fresh(now) < m.p.Patience*2/3
+	if heard && m.promised.Less(msg.Ballot) {
+		m.send(Message{Kind: Reject, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied})
+		return
+	}
+	if msg.Ballot.By != m.p.Self && m.role != Listening {
+		m.listen(now)
+	}
+	if m.promised.Less(msg.Ballot) {
+		m.promise(msg.Ballot)
+		m.leader = ""
+	}
+	if m.role == Listening {
+		m.deadline = now + m.p.Patience + time.Duration(m.p.Jitter()*float64(m.p.Patience))
+	}
+	r := Message{Kind: Promise, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied, Slot: msg.Slot}
+	from := msg.Slot
+	if from < m.base {
+		r.Snap = m.st.snapshot(m.applied)
+		from = m.applied
+	}
+	r.Entries = m.segment(from, ^uint64(0))
+	m.send(r)
+}
+
+func (m *Member) segment(from, to uint64) []Entry {
+	var out []Entry
+	for slot, e := range m.log {
+		if slot > from && slot <= to {
+			out = append(out, *e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Slot < out[j].Slot })
+	return out
+}
+
+func (m *Member) onPromise(now time.Duration, msg Message) {
+	if m.role == Listening || msg.Ballot != m.ballot || m.promises[msg.From] {
+		return
+	}
+	m.learn(now, msg)
+	if m.role == Listening {
+		return
+	}
+	for _, e := range msg.Entries {
+		if e.Slot <= m.applied {
+			continue
+		}
+		if a, ok := m.adopt[e.Slot]; !ok || a.Ballot.Less(e.Ballot) {
+			m.adopt[e.Slot] = e
+		}
+	}
+	if msg.Chosen > m.applied {
+		return // it could not teach us all it knows: not a promise we can use yet
+	}
+	m.promises[msg.From] = true
+	if m.role == Bidding {
+		m.tryLead(now)
+		return
+	}
+	m.pump(now)
+}
+
+func (m *Member) onReject(now time.Duration, msg Message) {
+	if msg.Ballot.Round > m.maxRound {
+		m.maxRound = msg.Ballot.Round
+	}
+	if m.role == Leading && m.ballot.Less(msg.Ballot) {
+		m.leader = ""
+		m.listen(now)
+	}
+}
+
+func (m *Member) onAccept(now time.Duration, msg Message) {
+	if msg.Ballot.Less(m.promised) {
+		m.reject(msg.From)
+		return
+	}
+	m.follow(msg.Ballot, now)
+	r := Message{Kind: Accepted, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied}
+	for _, e := range msg.Entries {
+		if e.Slot > m.applied {
+			m.keep(e)
+			m.out.Writes.Entries = append(m.out.Writes.Entries, e)
+		}
+		r.Slots = append(r.Slots, e.Slot)
+	}
+	m.send(r)
+	if msg.Ballot.By != m.p.Self {
+		m.catchUp(now, msg.Ballot, msg.Chosen)
+	}
+}
+
+func (m *Member) onBeat(now time.Duration, msg Message) {
+	if msg.Ballot.Less(m.promised) {
+		m.reject(msg.From)
+		return
+	}
+	m.follow(msg.Ballot, now)
+	m.catchUp(now, msg.Ballot, msg.Chosen)
+	m.send(Message{Kind: BeatAck, To: msg.From, Ballot: msg.Ballot, Seq: msg.Seq, Chosen: m.applied})
+}
+
+// catchUp applies what the proposer says is chosen as far as we hold it from
+// that very proposer, and asks to be taught the rest.
+func (m *Member) catchUp(now time.Duration, b Ballot, chosen uint64) {
+	for m.applied < chosen {
+		e := m.log[m.applied+1]
+		if e == nil || e.Ballot != b {
+			break
+		}
+		m.applyNext()
+	}
+	if m.applied >= chosen {
+		m.asked = false
+		return
+	}
+	if !m.asked || now-m.askedAt >= m.p.Beat {
+		m.asked, m.askedAt = true, now
+		m.send(Message{Kind: Ask, To: b.By, Slot: m.applied})
+	}
+}
+
+func (m *Member) onAccepted(now time.Duration, msg Message) {
+	if m.role != Leading || msg.Ballot != m.ballot {
+		return
+	}
+	for _, s := range msg.Slots {
+		f := m.flights[s]
+		if f == nil {
+			continue
+		}
+		f.acks[msg.From] = true
+		if majority(m.st.at(s), func(id MemberID) bool { return f.acks[id] }) {
+			f.chosen = true
+		}
+	}
+	moved := false
+	for {
+		f := m.flights[m.applied+1]
+		if f == nil || !f.chosen {
+			break
+		}
+		delete(m.flights, m.applied+1)
+		delete(m.adopt, m.applied+1)
+		if own := m.log[f.entry.Slot]; own == nil || own.Ballot != f.entry.Ballot {
+			m.keep(f.entry)
+			m.out.Writes.Entries = append(m.out.Writes.Entries, f.entry)
+		}
+		m.applyNext()
+		moved = true
+	}
+	if moved {
+		m.pump(now)
+		if m.role == Leading {
+			m.beat(now) // others learn at once what was chosen
+		}
+	}
+}
+
+func (m *Member) onAsk(msg Message) {
+	if msg.Slot >= m.applied {
+		return
+	}
+	r := Message{Kind: Teach, To: msg.From, Chosen: m.applied}
+	if msg.Slot >= m.base {
+		r.Entries = m.segment(msg.Slot, m.applied)
+		n := 0
+		for i := range r.Entries {
+			n += entrySize(&r.Entries[i])
+		}
+		if n <= m.st.size() || len(r.Entries) <= 4 {
+			m.send(r)
+			return
+		}
+		r.Entries = nil
+	}
+	r.Snap = m.st.snapshot(m.applied)
+	m.send(r)
+}
+
+func (m *Member) onTeach(now time.Duration, msg Message) {
+	m.learn(now, msg)
+	m.asked = false
+	m.pump(now)
+}
+
+// learn takes in decided content: a snapshot and entries up to msg.Chosen.
+// A proposer that is taught something has been replaced: it must not vouch for
+// those positions under its own ballot.
+func (m *Member) learn(now time.Duration, msg Message) {
+	if m.role == Leading && msg.Chosen > m.applied {
+		m.leader = ""
+		m.listen(now)
+	}
+	if msg.Snap != nil && msg.Snap.Applied > m.applied {
+		m.load(msg.Snap)
+		m.out.Writes.Snap = msg.Snap
+		m.out.Writes.DropTo = msg.Snap.Applied
+		m.out.Changed = true
+	}
+	for _, e := range msg.Entries {
+		if e.Slot == m.applied+1 && e.Slot <= msg.Chosen {
+			m.keep(e)
+			m.out.Writes.Entries = append(m.out.Writes.Entries, e)
+			m.applyNext()
+		}
+	}
+}
+
+func (m *Member) applyNext() {
+	slot := m.applied + 1
+	e := m.log[slot]
+	for _, t := range e.Txns {
+		ok := m.st.apply(t, slot, m.p.Alpha)
+		m.finish(Outcome{ID: t.ID, Committed: ok})
+	}
+	m.applied = slot
+	m.out.Changed = true
+	m.st.prune(m.applied)
+	m.compact()
+}
+
+// compact replaces a long log by a snapshot.
+func (m *Member) compact() {
+	if m.applied-m.base < 2*m.p.KeepLog && m.logBytes < 1<<20 {
+		return
+	}
+	cut := m.applied
+	if m.logBytes < 1<<20 {
+		cut = m.applied - m.p.KeepLog
+	}
+	// The snapshot is of the newest state; the entries kept below it only
+	// serve to teach.
+	m.out.Writes.Snap = m.st.snapshot(m.applied)
+	m.out.Writes.DropTo = m.applied
+	for slot, e := range m.log {
+		if slot <= cut {
+			m.logBytes -= entrySize(e)
+			delete(m.log, slot)
+		}
+	}
+	m.base = cut
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,120 @@
+// Package feed holds what registrars tell switches: the configuration, the
+// list of leafs, the marks of the index cells and the directory of nodes. Each
+// part carries a version, and a holder only ever moves to a higher one.
+package feed
+
+// Stamp orders leaf lists: the term of the duty that made it, then its count.
+type Stamp struct {
+	Term uint64 `cbor:"1,keyasint,omitempty"`
+	Rev  uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Less reports whether s is older than o.
+func (s Stamp) Less(o Stamp) bool {
+	if s.Term != o.Term {
+		return s.Term < o.Term
+	}
+	return s.Rev < o.Rev
+}
+
+// Leaf is one life of one server of a service.
+type Leaf struct {
+	ID       string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint"`
+	Addr     string `cbor:"3,keyasint"`
+	Zone     string `cbor:"4,keyasint"`
+	Slots    int    `cbor:"5,keyasint,omitempty"`
+	Draining bool   `cbor:"6,keyasint,omitempty"`
+	Cold     bool   `cbor:"7,keyasint,omitempty"`
+}
+
+// List is the platform's list at one moment.
+type List struct {
+	Stamp Stamp  `cbor:"1,keyasint"`
+	Leafs []Leaf `cbor:"2,keyasint"`
+}
+
+// Marks are the leafs that an index cell holds as drained.
+type Marks struct {
+	Index   string          `cbor:"1,keyasint"`
+	Slot    uint64          `cbor:"2,keyasint"`
+	Drained map[string]Mark `cbor:"3,keyasint,omitempty"`
+	Cut     []string        `cbor:"4,keyasint,omitempty"`
+	Routes  []string        `cbor:"5,keyasint,omitempty"`
+}
+
+// Mark says why a leaf is drained.
+type Mark struct {
+	Why string `cbor:"1,keyasint"`
+	By  string `cbor:"2,keyasint,omitempty"`
+}
+
+// The reasons of marks.
+const (
+	WhyList   = "list"   // the platform says that it leaves
+	WhySilent = "silent" // answers late, lost or refused
+)
+
+// Node is an entry of the directory of nodes.
+type Node struct {
+	Name    string `cbor:"1,keyasint"`
+	Addr    string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint"`
+	Control bool   `cbor:"4,keyasint,omitempty"`
+	Down    bool   `cbor:"5,keyasint,omitempty"`
+}
+
+// Nodes is the directory after one position of the exchange cell.
+type Nodes struct {
+	Slot uint64 `cbor:"1,keyasint"`
+	All  []Node `cbor:"2,keyasint"`
+}
+
+// Config is a configuration, whole or as a patch on the version Base.
+type Config struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Base    uint64 `cbor:"2,keyasint,omitempty"`
+	Raw     []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Have says what a caller already holds.
+type Have struct {
+	Config uint64            `cbor:"1,keyasint,omitempty"`
+	List   Stamp             `cbor:"2,keyasint,omitempty"`
+	Marks  map[string]uint64 `cbor:"3,keyasint,omitempty"`
+	Nodes  uint64            `cbor:"4,keyasint,omitempty"`
+}
+
+// Report is what a switch noticed about a leaf.
+type Report struct {
+	Leaf    string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Well    bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Call is what a switch asks.
+type Call struct {
+	Node     Node     `cbor:"1,keyasint"`
+	Have     Have     `cbor:"2,keyasint"`
+	Reports  []Report `cbor:"3,keyasint,omitempty"`
+	Suspects []string `cbor:"4,keyasint,omitempty"`
+	// Now asks for an answer at once, be there news or not.
+	Now bool `cbor:"5,keyasint,omitempty"`
+}
+
+// News answers a Call with the parts that are newer than what it holds.
+type News struct {
+	// Stale says that the sender has lost touch with its cell's majority.
+	Stale  bool    `cbor:"1,keyasint,omitempty"`
+	Config *Config `cbor:"2,keyasint,omitempty"`
+	List   *List   `cbor:"3,keyasint,omitempty"`
+	Marks  []Marks `cbor:"4,keyasint,omitempty"`
+	Nodes  *Nodes  `cbor:"5,keyasint,omitempty"`
+	// Gone names indexes that are no more.
+	Gone []string `cbor:"6,keyasint,omitempty"`
+}
+
+// Empty reports whether there is no news.
+func (n *News) Empty() bool {
+	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0
+}
--- /dev/null
+++ b/internal/gather/gather.go
@@ -0,0 +1,358 @@
+package gather
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"comethold/internal/numbering"
+	"comethold/internal/toll"
+	"comethold/internal/trunk"
+)
+
+// Headers of gathered answers.
+const (
+	HeaderParts   = "X-Comethold-Part-Stamps"
+	HeaderMissing = "X-Comethold-Missing-Parts"
+)
+
+// Pacing of tries. Ours; see docs/design.md.
+const (
+	hedgeFrom   = 0.95                  // the share of answers that come before a second leaf is asked
+	hedgeKeep   = 0.25                  // of the budget stays for tries after a failure
+	cutMargin   = 12 * time.Millisecond // before the target, to get the answer to the client
+	freeTries   = 3                     // tries that never left this node
+	comeBackMin = 50 * time.Millisecond
+)
+
+// Asker carries requests to leafs.
+type Asker struct {
+	frame *trunk.Frame
+	toll  *toll.Toll
+
+	mu    sync.Mutex
+	paces map[string]*pace
+}
+
+// NewAsker makes an asker over a frame of trunks and a retry budget.
+func NewAsker(f *trunk.Frame, t *toll.Toll) *Asker {
+	return &Asker{frame: f, toll: t, paces: map[string]*pace{}}
+}
+
+// Forget drops what was learnt of routes that are no more.
+func (a *Asker) Forget(p *numbering.Plan) {
+	live := map[string]bool{}
+	p.Lines(func(l *numbering.Line) { live[l.Name] = true })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name := range a.paces {
+		if !live[name] {
+			delete(a.paces, name)
+		}
+	}
+}
+
+func (a *Asker) pace(route string) *pace {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.paces[route]
+	if p == nil {
+		p = &pace{}
+		a.paces[route] = p
+	}
+	return p
+}
+
+// Reply is what the client gets.
+type Reply struct {
+	Status     int
+	Header     http.Header
+	Body       []byte
+	RetryAfter time.Duration // with 503: the request has not run
+	Why        string
+}
+
+type shard struct {
+	service string
+	tried   []*trunk.Trunk
+	sent    int // arrivals at leafs
+	free    int // tries that did not leave
+	pending int
+	ran     bool // a leaf may have run it
+	part    *trunk.Answer
+	last    *trunk.Answer
+	failed  bool
+	late    bool
+	since   time.Time // of the newest try
+	hedgeAt time.Time
+	newest  *trunk.Trunk
+}
+
+type outcome struct {
+	shard int
+	a     *trunk.Answer
+	err   error
+	took  time.Duration
+}
+
+// asking is one request on its way.
+type asking struct {
+	*Asker
+	line   *numbering.Line
+	req    *trunk.Request
+	pace   *pace
+	shards []shard
+	ch     chan outcome
+	usual  time.Duration
+}
+
+func failure(status int, why string) *Reply { return &Reply{Status: status, Why: why} }
+
+func comeBack(why string) *Reply {
+	return &Reply{Status: http.StatusServiceUnavailable, Why: why,
+		RetryAfter: comeBackMin + time.Duration(rand.Int64N(int64(2*comeBackMin)))}
+}
+
+// Ask carries a request to the leafs of its line and returns the answer.
+func (a *Asker) Ask(l *numbering.Line, r *trunk.Request, start time.Time) *Reply {
+	services := l.FanoutServices
+	gathered := len(services) > 0
+	if !gathered {
+		services = []string{l.Pick(rand.Float64())}
+	}
+	for _, s := range services {
+		a.toll.Earn(s, start)
+	}
+	least := 1
+	if gathered {
+		least = l.Least
+		up := 0
+		for _, s := range services {
+			if a.frame.Usable(s) > 0 {
+				up++
+			}
+		}
+		if up < least {
+			return comeBack("too few shards have a leaf")
+		}
+	}
+	k := &asking{Asker: a, line: l, req: r, pace: a.pace(l.Name), shards: make([]shard, len(services)),
+		ch: make(chan outcome, len(services)*(l.Tries+freeTries))}
+	k.usual = k.pace.hedgeAfter(l.Target)
+	for i, s := range services {
+		k.shards[i].service = s
+		k.launch(i, start)
+	}
+	k.wait(start, least, gathered)
+	if gathered {
+		return k.joined(least)
+	}
+	return k.single()
+}
+
+// launch sends the shard's request to one more leaf, if one takes it.
+func (k *asking) launch(i int, now time.Time) bool {
+	t := k.frame.Seize(k.shards[i].service, k.shards[i].tried)
+	if t == nil {
+		k.shards[i].settle()
+		return false
+	}
+	k.send(i, t, now)
+	return true
+}
+
+func (k *asking) send(i int, t *trunk.Trunk, now time.Time) {
+	s := &k.shards[i]
+	s.tried = append(s.tried, t)
+	s.sent++
+	s.pending++
+	s.since, s.newest = now, t
+	s.hedgeAt = now.Add(k.usual)
+	go func() {
+		began := time.Now()
+		a, err := k.frame.Call(t, k.req)
+		k.ch <- outcome{shard: i, a: a, err: err, took: time.Since(began)}
+	}()
+}
+
+func (s *shard) settle() {
+	if s.pending == 0 && s.part == nil {
+		s.failed = true
+	}
+}
+
+// again sends to another leaf if the route and the budget allow it.
+func (k *asking) again(i int, keep float64, now time.Time) bool {
+	s := &k.shards[i]
+	if s.sent >= k.line.Tries || !k.req.Deadline.After(now) {
+		return false
+	}
+	t := k.frame.Seize(s.service, s.tried)
+	if t == nil {
+		return false
+	}
+	if !k.toll.Pay(s.service, now, keep) {
+		k.frame.Release(t)
+		return false
+	}
+	k.send(i, t, now)
+	return true
+}
+
+// wait follows the tries until the answer is settled.
+func (k *asking) wait(start time.Time, least int, gathered bool) {
+	target := start.Add(k.line.Target - cutMargin)
+	cut := target
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		in, open := 0, 0
+		now := time.Now()
+		next := k.req.Deadline
+		for i := range k.shards {
+			s := &k.shards[i]
+			switch {
+			case s.part != nil:
+				in++
+			case !s.failed:
+				open++
+				if !s.hedgeAt.After(now) {
+					k.overdue(i, now)
+				}
+				if s.hedgeAt.Before(next) {
+					next = s.hedgeAt
+				}
+			}
+		}
+		if open == 0 || in+open < least || !k.req.Deadline.After(now) {
+			return
+		}
+		if gathered && in >= least && k.line.Target > 0 {
+			if !cut.After(now) {
+				if now.Sub(cut) < cutMargin || !start.Add(3*k.line.Target).After(now) {
+					return // what is in earns more now than all of it later
+				}
+				cut = start.Add(3 * k.line.Target)
+			}
+			if cut.Before(next) {
+				next = cut
+			}
+		}
+		timer.Reset(max(next.Sub(now), 0))
+		select {
+		case o := <-k.ch:
+			k.take(o)
+		case <-timer.C:
+		}
+	}
+}
+
+// overdue deals with a shard whose newest try takes longer than usual.
+func (k *asking) overdue(i int, now time.Time) {
+	s := &k.shards[i]
+	k.frame.Overdue(s.newest, s.since, k.usual)
+	s.hedgeAt = now.Add(k.usual)
+	if k.line.RouteKind == numbering.Safe {
+		k.again(i, hedgeKeep, now)
+	}
+}
+
+// take notes the outcome of a try.
+func (k *asking) take(o outcome) {
+	s := &k.shards[o.shard]
+	s.pending--
+	now := time.Now()
+	switch {
+	case o.err == nil && o.a.Good():
+		if s.part == nil {
+			s.part = o.a
+		}
+		k.pace.add(o.took)
+		return
+	case errors.Is(o.err, trunk.ErrNotSent):
+		s.sent--
+		if s.free++; s.part == nil && s.pending == 0 && s.free <= freeTries && k.req.Deadline.After(now) && k.launch(o.shard, now) {
+			return
+		}
+	case o.err == nil && o.a.NotRun():
+		s.last = o.a
+		if s.part == nil && s.pending == 0 && k.again(o.shard, 0, now) {
+			return
+		}
+	default:
+		s.ran = true
+		s.last = o.a
+		s.late = s.late || errors.Is(o.err, trunk.ErrLate)
+		if s.part == nil && s.pending == 0 && k.line.RouteKind == numbering.Safe && k.again(o.shard, 0, now) {
+			return
+		}
+	}
+	s.settle()
+}
+
+// single makes the reply of a line with one leaf.
+func (k *asking) single() *Reply {
+	s := &k.shards[0]
+	switch {
+	case s.part != nil:
+		return &Reply{Status: s.part.Status, Header: s.part.Header, Body: s.part.Body}
+	case s.pending > 0 || s.late:
+		return failure(http.StatusGatewayTimeout, "the leaf did not answer in time")
+	case s.ran:
+		if a := s.last; a != nil && a.Status/100 != 2 && !a.NotRun() && !promises(a.Status) {
+			return &Reply{Status: a.Status, Header: a.Header, Body: a.Body} // the leaf's own failure
+		}
+		return failure(http.StatusBadGateway, "the leaf's answer was lost")
+	case s.last != nil && s.last.Status == http.StatusBadRequest:
+		return &Reply{Status: http.StatusBadRequest, Header: s.last.Header, Body: s.last.Body}
+	}
+	return comeBack("no leaf takes the request now")
+}
+
+// promises reports whether clients take a status as word that the request has
+// not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// joined makes the reply of a gathered line.
+func (k *asking) joined(least int) *Reply {
+	h := http.Header{}
+	var bodies [][]byte
+	ran, pending := false, false
+	var stamps []byte
+	for i := range k.shards {
+		s := &k.shards[i]
+		ran = ran || s.ran || s.pending > 0
+		pending = pending || (s.pending > 0 && s.part == nil)
+		if s.part == nil {
+			continue
+		}
+		ran = true
+		if len(stamps) > 0 {
+			stamps = append(stamps, ", "...)
+		}
+		stamps = append(stamps, s.part.Header.Get(trunk.HeaderStamp)...)
+		bodies = append(bodies, s.part.Body)
+	}
+	switch {
+	case len(bodies) >= least:
+	case pending && !k.req.Deadline.After(time.Now()):
+		return failure(http.StatusGatewayTimeout, "too few shards answered in time")
+	case ran:
+		return failure(http.StatusBadGateway, "too few shards answered")
+	default:
+		return comeBack("too few shards take the request now")
+	}
+	h.Set(HeaderParts, string(stamps))
+	h.Set(HeaderMissing, strconv.Itoa(len(k.shards)-len(bodies)))
+	h.Set("Content-Type", "application/octet-stream")
+	return &Reply{Status: http.StatusOK, Header: h, Body: Merge(bodies, int(k.line.ResultCount))}
+}
--- /dev/null
+++ b/internal/numbering/config.go
@@ -0,0 +1,190 @@
+// Package numbering reads the operator's configuration and compiles it into an
+// immutable plan that finds the route of a request.
+package numbering
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Errors of this layer.
+var (
+	ErrUnreadable = errors.New("numbering: the configuration cannot be read")
+	ErrInvalid    = errors.New("numbering: the configuration is invalid")
+)
+
+// The two kinds of route.
+const (
+	Safe   = "safe"
+	Unsafe = "unsafe"
+)
+
+// Configuration is one whole configuration of the operator.
+type Configuration struct {
+	Version  uint64    `json:"version" validate:"required"`
+	Routes   []Route   `json:"routes" validate:"dive"`
+	Services []Service `json:"services" validate:"unique=Name,dive"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Weighted is one service of a split route.
+type Weighted struct {
+	Service string `json:"service" validate:"required"`
+	Weight  int64  `json:"weight" validate:"min=0,max=1000000000"`
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name              string     `json:"name" validate:"required"`
+	Hostname          string     `json:"hostname" validate:"required"`
+	PathPrefix        string     `json:"pathPrefix" validate:"required,startswith=/,endswith=/"`
+	RouteKind         string     `json:"routeKind" validate:"oneof=safe unsafe"`
+	TimeoutMs         int64      `json:"timeoutMs" validate:"min=1,max=86400000"`
+	TargetLatencyMs   int64      `json:"targetLatencyMs" validate:"min=0"`
+	Priority          int64      `json:"priority" validate:"min=0"`
+	MaxAttempts       int64      `json:"maxAttempts" validate:"min=0"`
+	RatePerS          float64    `json:"ratePerS,omitempty" validate:"min=0"`
+	Service           string     `json:"service,omitempty"`
+	WeightedServices  []Weighted `json:"weightedServices,omitempty" validate:"dive"`
+	FanoutServices    []string   `json:"fanoutServices,omitempty" validate:"unique,dive,required"`
+	ResultCount       int64      `json:"resultCount,omitempty" validate:"min=0,max=10000000"`
+	MinimumShardShare float64    `json:"minimumShardShare,omitempty" validate:"min=0,max=1"`
+}
+
+// Service is a set of leafs that answer alike.
+type Service struct {
+	Name            string `json:"name" validate:"required"`
+	HealthPath      string `json:"healthPath" validate:"omitempty,startswith=/"`
+	ConnectionLimit int    `json:"connectionLimit" validate:"min=0"`
+	Protocol        string `json:"protocol" validate:"omitempty,oneof=h1"`
+	TLSEnabled      bool   `json:"tlsEnabled" validate:"eq=false"`
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	MaxHeaderBytes  int64 `json:"maxHeaderBytes" validate:"min=0"`
+	MaxBodyBytes    int64 `json:"maxBodyBytes" validate:"min=0"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs" validate:"min=0"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs" validate:"min=0"`
+}
+
+var check = func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		return strings.SplitN(f.Tag.Get("json"), ",", 2)[0]
+	})
+	return v
+}()
+
+// Read decodes and checks a configuration. The error names every fault found.
+func Read(raw []byte) (*Configuration, error) {
+	dec := json.NewDecoder(strings.NewReader(string(raw)))
+	c := &Configuration{}
+	if err := dec.Decode(c); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnreadable, err)
+	}
+	if dec.More() {
+		return nil, fmt.Errorf("%w: more follows after its end", ErrUnreadable)
+	}
+	if faults := c.faults(); len(faults) > 0 {
+		return nil, fmt.Errorf("%w: %s", ErrInvalid, strings.Join(faults, "; "))
+	}
+	return c, nil
+}
+
+const maxFaults = 50
+
+// Faults says in words what struct tags found, a line a field.
+func Faults(err error) []string {
+	var ve validator.ValidationErrors
+	if !errors.As(err, &ve) {
+		return []string{err.Error()}
+	}
+	var out []string
+	for _, f := range ve {
+		name := f.Namespace()
+		if i := strings.IndexByte(name, '.'); i >= 0 {
+			name = name[i+1:]
+		}
+		rule := f.Tag()
+		if f.Param() != "" {
+			rule += "=" + f.Param()
+		}
+		out = append(out, fmt.Sprintf("%s: %v breaks %q", name, f.Value(), rule))
+	}
+	return out
+}
+
+func (c *Configuration) faults() []string {
+	var out []string
+	if err := check.Struct(c); err != nil {
+		out = Faults(err)
+	}
+	known := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		known[s.Name] = true
+	}
+	taken := make(map[string]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		at := fmt.Sprintf("routes[%d]", i)
+		key := strings.ToLower(r.Hostname) + " " + r.PathPrefix
+		if other, ok := taken[key]; ok {
+			out = append(out, fmt.Sprintf("%s: %q has the host and prefix of %q", at, r.Name, other))
+		}
+		taken[key] = r.Name
+		targets, total := 0, int64(0)
+		for _, s := range r.ServiceNames() {
+			if !known[s] {
+				out = append(out, fmt.Sprintf("%s: unknown service %q", at, s))
+			}
+		}
+		if r.Service != "" {
+			targets++
+		}
+		if len(r.WeightedServices) > 0 {
+			targets++
+			for _, w := range r.WeightedServices {
+				total += w.Weight
+			}
+			if total <= 0 {
+				out = append(out, fmt.Sprintf("%s.weightedServices: the weights add up to 0", at))
+			}
+		}
+		if len(r.FanoutServices) > 0 {
+			targets++
+			if r.RouteKind != Safe {
+				out = append(out, fmt.Sprintf("%s.routeKind: a gathered route must be safe", at))
+			}
+		}
+		if targets != 1 {
+			out = append(out, fmt.Sprintf("%s: needs exactly one of service, weightedServices and fanoutServices", at))
+		}
+		if len(out) > maxFaults {
+			break
+		}
+	}
+	return out
+}
+
+// ServiceNames lists every service that the route may use.
+func (r *Route) ServiceNames() []string {
+	switch {
+	case len(r.FanoutServices) > 0:
+		return r.FanoutServices
+	case len(r.WeightedServices) > 0:
+		out := make([]string, 0, len(r.WeightedServices))
+		for _, w := range r.WeightedServices {
+			out = append(out, w.Service)
+		}
+		return out
+	case r.Service != "":
+		return []string{r.Service}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/numbering/plan.go
@@ -0,0 +1,132 @@
+package numbering
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Plan is a compiled configuration. It never changes; a request keeps the plan
+// it started with.
+type Plan struct {
+	Version  uint64
+	Raw      []byte
+	Limits   Limits
+	Services map[string]*Service
+	hosts    map[string]*host
+}
+
+// Line is one compiled route.
+type Line struct {
+	Route
+	Timeout time.Duration
+	Target  time.Duration
+	Tries   int
+	Least   int // parts that a gathered success needs
+	weights int64
+}
+
+type host struct {
+	lines   map[string]*Line
+	lengths []int // of the prefixes, longest first
+}
+
+const defaultTries = 2
+
+// Compile makes a plan of a valid configuration.
+func Compile(c *Configuration, raw []byte) *Plan {
+	p := &Plan{Version: c.Version, Raw: raw, Limits: c.Limits, Services: make(map[string]*Service, len(c.Services)), hosts: map[string]*host{}}
+	for i := range c.Services {
+		p.Services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		l := &Line{Route: *r, Timeout: time.Duration(r.TimeoutMs) * time.Millisecond,
+			Target: time.Duration(r.TargetLatencyMs) * time.Millisecond, Tries: int(r.MaxAttempts)}
+		if l.Tries <= 0 {
+			l.Tries = 1
+		}
+		if n := len(r.FanoutServices); n > 0 {
+			l.Least = leastParts(n, r.MinimumShardShare)
+		}
+		for _, w := range r.WeightedServices {
+			l.weights += w.Weight
+		}
+		name := strings.ToLower(r.Hostname)
+		h := p.hosts[name]
+		if h == nil {
+			h = &host{lines: map[string]*Line{}}
+			p.hosts[name] = h
+		}
+		h.lines[r.PathPrefix] = l
+	}
+	for _, h := range p.hosts {
+		seen := map[int]bool{}
+		for prefix := range h.lines {
+			if !seen[len(prefix)] {
+				seen[len(prefix)] = true
+				h.lengths = append(h.lengths, len(prefix))
+			}
+		}
+		sort.Sort(sort.Reverse(sort.IntSlice(h.lengths)))
+	}
+	return p
+}
+
+// leastParts is the smallest number of n parts whose share is at least share.
+func leastParts(n int, share float64) int {
+	k := 1
+	for k < n && float64(k)/float64(n) < share-1e-9 {
+		k++
+	}
+	return k
+}
+
+// Find returns the line of the longest prefix of the path within the host.
+func (p *Plan) Find(hostHeader, path string) *Line {
+	name := hostHeader
+	if strings.IndexByte(name, ':') >= 0 {
+		if h, _, err := net.SplitHostPort(name); err == nil {
+			name = h
+		}
+	}
+	h := p.hosts[name]
+	if h == nil {
+		if h = p.hosts[strings.ToLower(name)]; h == nil {
+			return nil
+		}
+	}
+	for _, n := range h.lengths {
+		if n <= len(path) {
+			if l := h.lines[path[:n]]; l != nil {
+				return l
+			}
+		}
+	}
+	return nil
+}
+
+// Pick returns the service for one request to a line that is not gathered; u
+// is a number in [0,1).
+func (l *Line) Pick(u float64) string {
+	if len(l.WeightedServices) == 0 {
+		return l.Service
+	}
+	at := int64(u * float64(l.weights))
+	for _, w := range l.WeightedServices {
+		if at -= w.Weight; at < 0 {
+			return w.Service
+		}
+	}
+	return l.WeightedServices[len(l.WeightedServices)-1].Service
+}
+
+// Lines calls f for every line.
+func (p *Plan) Lines(f func(*Line)) {
+	for _, h := range p.hosts {
+		for _, l := range h.lines {
+			f(l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registrar/board.go
@@ -0,0 +1,134 @@
+package registrar
+
+import (
+	"bytes"
+	"sync"
+
+	"comethold/internal/cell"
+	"comethold/internal/feed"
+	"comethold/internal/wire"
+)
+
+// board is what this registrar can tell switches, ready to hand out.
+type board struct {
+	mu    sync.Mutex
+	news  chan struct{} // closed and renewed whenever something changes
+	cfg   []feed.Config // the last few, newest last, each whole
+	list  *feed.List
+	marks map[string]feed.Marks
+	nodes *feed.Nodes
+}
+
+const keepConfigs = 4
+
+func newBoard() *board { return &board{news: make(chan struct{}), marks: map[string]feed.Marks{}} }
+
+func (b *board) changedLocked() {
+	close(b.news)
+	b.news = make(chan struct{})
+}
+
+func (b *board) setConfig(version uint64, raw []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := len(b.cfg); version == 0 || (n > 0 && b.cfg[n-1].Version >= version) {
+		return
+	}
+	b.cfg = append(b.cfg, feed.Config{Version: version, Raw: raw})
+	if len(b.cfg) > keepConfigs {
+		b.cfg = append([]feed.Config(nil), b.cfg[1:]...)
+	}
+	b.changedLocked()
+}
+
+// setList takes a list if it is newer and reports which stamp is held now.
+func (b *board) setList(l *feed.List) feed.Stamp {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.list == nil || b.list.Stamp.Less(l.Stamp) {
+		b.list = l
+		b.changedLocked()
+	}
+	return b.list.Stamp
+}
+
+func (b *board) getList() *feed.List {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list
+}
+
+func (b *board) setMarks(m feed.Marks) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.marks[m.Index]
+	if ok {
+		slot := m.Slot
+		m.Slot = old.Slot
+		if same(old, m) {
+			return
+		}
+		m.Slot = slot
+	}
+	b.marks[m.Index] = m
+	b.changedLocked()
+}
+
+func (b *board) dropMarks(index string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.marks[index]; ok {
+		delete(b.marks, index)
+		b.changedLocked()
+	}
+}
+
+func (b *board) setNodes(slot uint64, all []feed.Node) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.nodes != nil && same(b.nodes.All, all) {
+		return
+	}
+	b.nodes = &feed.Nodes{Slot: slot, All: all}
+	b.changedLocked()
+}
+
+func same(a, b any) bool {
+	x, err1 := wire.Marshal(a)
+	y, err2 := wire.Marshal(b)
+	return err1 == nil && err2 == nil && bytes.Equal(x, y)
+}
+
+// newer collects what the caller lacks, and a channel that closes at the next
+// change.
+func (b *board) newer(h feed.Have) (feed.News, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var n feed.News
+	if k := len(b.cfg); k > 0 && b.cfg[k-1].Version > h.Config {
+		last := b.cfg[k-1]
+		n.Config = &last
+		for _, c := range b.cfg[:k-1] {
+			if c.Version == h.Config {
+				n.Config = &feed.Config{Version: last.Version, Base: c.Version, Raw: cell.MakePatch(c.Raw, last.Raw)}
+			}
+		}
+	}
+	if b.list != nil && h.List.Less(b.list.Stamp) {
+		n.List = b.list
+	}
+	for ix, m := range b.marks {
+		if slot, ok := h.Marks[ix]; !ok || slot < m.Slot {
+			n.Marks = append(n.Marks, m)
+		}
+	}
+	for ix := range h.Marks {
+		if _, ok := b.marks[ix]; !ok && len(b.marks) > 0 {
+			n.Gone = append(n.Gone, ix)
+		}
+	}
+	if b.nodes != nil && b.nodes.Slot > h.Nodes {
+		n.Nodes = b.nodes
+	}
+	return n, b.news
+}
--- /dev/null
+++ b/internal/registrar/desk.go
@@ -0,0 +1,412 @@
+package registrar
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"comethold/internal/cell"
+	"comethold/internal/directory"
+	"comethold/internal/event"
+	"comethold/internal/feed"
+	"comethold/internal/numbering"
+	"comethold/internal/wire"
+)
+
+// Pacing of the desk's work. Ours; see docs/design.md.
+const (
+	pollEvery   = 800 * time.Millisecond
+	deskEvery   = 400 * time.Millisecond
+	digestEvery = time.Second
+	suspectSpan = 4 * time.Second
+	reportSpan  = 2 * time.Second
+	seenSpan    = 3 * time.Second
+	forgetAfter = 2 * time.Minute
+	deskWork    = 1200 * time.Millisecond
+	seatSilence = 20 * time.Second
+	watchersAgr = 2 // watchers, or reporters of a leaf, that must agree
+)
+
+// pollLoop keeps the list of leafs while this node holds the duty.
+func (r *Registrar) pollLoop() {
+	if r.plat == nil {
+		return
+	}
+	var lastDigest time.Time
+	failures := 0
+	pause := pollEvery
+	for {
+		select {
+		case <-time.After(pause):
+		case <-r.quit:
+			return
+		}
+		pause = pollEvery
+		term, ok := r.poller.held()
+		if !ok {
+			failures = 0
+			pause = pollEvery / 4
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		leafs, err := r.plat.List(ctx)
+		cancel()
+		if err != nil {
+			failures++
+			r.log.Warn(event.ListFailed).Err(err).Int("failures", failures).Msg("the platform's list cannot be had")
+			if failures >= 3 && !errors.Is(err, directory.ErrTooFast) {
+				r.poller.release() // another may reach the platform
+				failures = 0
+			}
+			continue
+		}
+		failures = 0
+		if _, ok := r.poller.held(); !ok {
+			continue // too late: the lease ended while the platform answered
+		}
+		next := &feed.List{Stamp: feed.Stamp{Term: term, Rev: 1}, Leafs: leafs}
+		if leafs == nil {
+			next.Leafs = []feed.Leaf{}
+		}
+		cur := r.board.getList()
+		changed := cur == nil || cur.Stamp.Term != term || !same(cur.Leafs, next.Leafs)
+		if changed {
+			if cur != nil && cur.Stamp.Term == term {
+				next.Stamp.Rev = cur.Stamp.Rev + 1
+			}
+			r.board.setList(next)
+			r.log.Debug(event.ListChanged).Int("leafs", len(leafs)).Uint64("term", term).Uint64("rev", next.Stamp.Rev).Msg("the list changed")
+			r.wakeDesk()
+		}
+		if changed || time.Since(lastDigest) >= digestEvery {
+			lastDigest = time.Now()
+			go r.spread(r.board.getList(), changed)
+		}
+	}
+}
+
+func (r *Registrar) wakeDesk() {
+	select {
+	case r.deskWake <- struct{}{}:
+	default:
+	}
+}
+
+// spread hands the list to the other registrars: whole when it changed, else
+// its stamp, followed by the whole where the stamp shows an old copy.
+func (r *Registrar) spread(l *feed.List, whole bool) {
+	var addrs []string
+	r.host.ask(func() { addrs = r.host.addresses() })
+	for _, a := range addrs {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			to := innerAddr(a, r.host.port)
+			var have feed.Stamp
+			msg := l
+			if !whole {
+				msg = &feed.List{Stamp: l.Stamp}
+			}
+			if err := r.host.call.Call(ctx, to, "/list", msg, &have); err == nil && !whole && have.Less(l.Stamp) {
+				_ = r.host.call.Call(ctx, to, "/list", l, &have)
+			}
+		}()
+	}
+}
+
+// deskLoop brings the cells up to date with what this node knows.
+func (r *Registrar) deskLoop() {
+	var cutFor uint64
+	for {
+		select {
+		case <-r.deskWake:
+			select {
+			case <-time.After(30 * time.Millisecond): // let more come in
+			case <-r.quit:
+				return
+			}
+		case <-time.After(deskEvery):
+		case <-r.quit:
+			return
+		}
+		if r.fresh() > staleFrom {
+			continue
+		}
+		r.hear(&feed.Call{Node: feed.Node{Name: r.set.NodeName + "/registrar", Addr: r.set.IPAddress, Zone: r.set.AvailabilityZone, Control: true}})
+		r.nodesDesk()
+		r.reportsDesk()
+		if _, ok := r.poller.held(); ok {
+			r.marksDesk()
+		}
+		if _, ok := r.mover.held(); ok {
+			r.cutDesk(&cutFor)
+			r.moveDesk()
+		}
+	}
+}
+
+func (r *Registrar) propose(name string, t cell.Txn) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), deskWork)
+	defer cancel()
+	ok, err := r.host.Propose(ctx, name, t)
+	return ok && err == nil
+}
+
+// nodesDesk writes nodes that called, and those that their watchers miss, into
+// the directory.
+func (r *Registrar) nodesDesk() {
+	held := map[string]feed.Node{}
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			for _, n := range nodesOf(m) {
+				held[n.Name] = n
+			}
+		}
+	})
+	now := time.Now()
+	var t cell.Txn
+	put := func(old feed.Node, known bool, n feed.Node) {
+		cond := cell.Condition{Key: keyNode + n.Name, Absent: !known}
+		if known {
+			cond.Equals = encode(old)
+		}
+		t.Conditions = append(t.Conditions, cond)
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyNode + n.Name, Value: encode(n)})
+	}
+	r.mu.Lock()
+	for name, s := range r.seen {
+		if now.Sub(s.at) > seenSpan {
+			delete(r.seen, name)
+			continue
+		}
+		if old, known := held[name]; !known || old != s.node {
+			put(old, known, s.node)
+		}
+	}
+	for name, by := range r.suspects {
+		n := 0
+		for w, at := range by {
+			if now.Sub(at) > suspectSpan {
+				delete(by, w)
+			} else {
+				n++
+			}
+		}
+		if len(by) == 0 {
+			delete(r.suspects, name)
+		}
+		_, calls := r.seen[name]
+		if old, known := held[name]; known && !old.Down && !calls && n >= min(watchersAgr, len(held)-1) {
+			down := old
+			down.Down = true
+			put(old, true, down)
+			r.log.Warn(event.NodeDown).Str("peer", name).Msg("a node is missed by its watchers")
+		}
+	}
+	r.mu.Unlock()
+	if len(t.Ops) > 0 {
+		r.propose(ExchangeCell, t)
+	}
+}
+
+// indexOf names the index cell whose cut holds the service.
+func (r *Registrar) indexesByService() map[string][]string {
+	out := map[string][]string{}
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			for ix, rec := range indexesOf(m) {
+				for _, s := range rec.Cut {
+					out[s] = append(out[s], ix)
+				}
+			}
+		}
+	})
+	for _, l := range out {
+		sort.Strings(l)
+	}
+	return out
+}
+
+func (r *Registrar) marksIn(ix string) map[string]feed.Mark {
+	var out map[string]feed.Mark
+	r.host.ask(func() {
+		if m := r.host.cells[ix]; m != nil {
+			out = marksOf(ix, m).Drained
+		}
+	})
+	return out
+}
+
+// reportsDesk turns what several switches noticed into marks.
+func (r *Registrar) reportsDesk() {
+	now := time.Now()
+	r.mu.Lock()
+	var bad, well []feed.Report
+	for leaf, by := range r.reports {
+		for w, at := range by {
+			if now.Sub(at) > reportSpan {
+				delete(by, w)
+			}
+		}
+		if len(by) == 0 {
+			delete(r.reports, leaf)
+			delete(r.bad, leaf)
+		} else if len(by) >= watchersAgr {
+			bad = append(bad, r.bad[leaf])
+		}
+	}
+	for leaf, rep := range r.wells {
+		well = append(well, rep)
+		delete(r.wells, leaf)
+	}
+	r.mu.Unlock()
+	if len(bad)+len(well) == 0 {
+		return
+	}
+	where := r.indexesByService()
+	for _, rep := range bad {
+		for _, ix := range where[rep.Service] {
+			if _, ok := r.marksIn(ix)[rep.Leaf]; !ok {
+				r.propose(ix, cell.Txn{
+					Conditions: []cell.Condition{{Key: keyMark + rep.Leaf, Absent: true}},
+					Ops:        []cell.Op{{Kind: cell.OpPut, Key: keyMark + rep.Leaf, Value: encode(feed.Mark{Why: feed.WhySilent, By: r.host.self.Name})}}})
+			}
+		}
+	}
+	for _, rep := range well {
+		for _, ix := range where[rep.Service] {
+			if mk, ok := r.marksIn(ix)[rep.Leaf]; ok && mk.Why == feed.WhySilent {
+				r.propose(ix, cell.Txn{
+					Conditions: []cell.Condition{{Key: keyMark + rep.Leaf, Equals: encode(mk)}},
+					Ops:        []cell.Op{{Kind: cell.OpDelete, Key: keyMark + rep.Leaf}}})
+			}
+		}
+	}
+}
+
+// marksDesk writes what the platform's list says of leaving leafs, and drops
+// the marks of leafs that are no more.
+func (r *Registrar) marksDesk() {
+	l := r.board.getList()
+	if l == nil {
+		return
+	}
+	where := r.indexesByService()
+	type change struct{ t cell.Txn }
+	todo := map[string]*change{}
+	at := func(ix string) *change {
+		if todo[ix] == nil {
+			todo[ix] = &change{}
+		}
+		return todo[ix]
+	}
+	listed := map[string]bool{}
+	marks := map[string]map[string]feed.Mark{}
+	for _, list := range where {
+		for _, ix := range list {
+			if marks[ix] == nil {
+				marks[ix] = r.marksIn(ix)
+			}
+		}
+	}
+	for _, leaf := range l.Leafs {
+		listed[leaf.ID] = true
+		if !leaf.Draining {
+			continue
+		}
+		for _, ix := range where[leaf.Service] {
+			if mk, ok := marks[ix][leaf.ID]; !ok || mk.Why != feed.WhyList {
+				c := at(ix)
+				c.t.Ops = append(c.t.Ops, cell.Op{Kind: cell.OpPut, Key: keyMark + leaf.ID, Value: encode(feed.Mark{Why: feed.WhyList})})
+			}
+		}
+	}
+	for ix, held := range marks {
+		for leaf := range held {
+			if !listed[leaf] {
+				c := at(ix)
+				c.t.Ops = append(c.t.Ops, cell.Op{Kind: cell.OpDelete, Key: keyMark + leaf})
+			}
+		}
+	}
+	for ix, c := range todo {
+		r.propose(ix, c.t)
+	}
+}
+
+// cutDesk makes the index cells follow the committed configuration.
+func (r *Registrar) cutDesk(done *uint64) {
+	var version uint64
+	var raw []byte
+	var old map[string]indexRecord
+	var next cell.Value
+	var seats []cell.Seat
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			version, raw = configOf(m)
+			old = indexesOf(m)
+			next, _ = m.Get(keyNextID)
+			seats, _ = m.Seats()
+		}
+	})
+	if version == 0 || version == *done {
+		return
+	}
+	cfg, err := numbering.Read(raw)
+	if err != nil {
+		return
+	}
+	groups := cutOf(cfg)
+	kept, fresh, gone := recut(old, groups)
+	var t cell.Txn
+	t.Conditions = []cell.Condition{{Key: keyVersion, Equals: cell.Int(int64(version))}}
+	cut := func(group string) []string { return strings.Split(group, "\x00") }
+	records := map[string]indexRecord{}
+	for ix, g := range kept {
+		rec := indexRecord{Seats: old[ix].Seats, Routes: groups[g], Cut: cut(g)}
+		records[ix] = rec
+		if !same(rec, old[ix]) {
+			t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyIndex + ix, Value: encode(rec)})
+		}
+	}
+	n := int64(0)
+	if next.Int != nil {
+		n = next.Int.Int64()
+		t.Conditions = append(t.Conditions, cell.Condition{Key: keyNextID, Equals: next})
+	} else {
+		t.Conditions = append(t.Conditions, cell.Condition{Key: keyNextID, Absent: true})
+	}
+	for _, g := range fresh {
+		n++
+		ix := indexName(n)
+		records[ix] = indexRecord{Seats: seats, Routes: groups[g], Cut: cut(g)}
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyIndex + ix, Value: encode(records[ix])})
+	}
+	for _, ix := range gone {
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: keyIndex + ix})
+	}
+	if len(t.Ops) > 0 {
+		if len(fresh) > 0 {
+			t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyNextID, Value: cell.Int(n)})
+		}
+		if !r.propose(ExchangeCell, t) {
+			return
+		}
+	}
+	for ix, rec := range records {
+		want := cutRecord{Version: version, Cut: rec.Cut, Routes: rec.Routes}
+		var have cutRecord
+		if v, ok := r.host.Get(ix, keyCut); ok && wire.Unmarshal(v.Bytes, &have) == nil {
+			have.Version = version
+			if same(have, want) {
+				continue
+			}
+		}
+		if !r.propose(ix, cell.Txn{Ops: []cell.Op{{Kind: cell.OpPut, Key: keyCut, Value: encode(want)}}}) {
+			return // the cell lags; the configuration is in force all the same
+		}
+	}
+	*done = version
+}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,324 @@
+package registrar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"comethold/internal/cell"
+	"comethold/internal/directory"
+	"comethold/internal/event"
+	"comethold/internal/feed"
+	"comethold/internal/settings"
+	"comethold/internal/vault"
+	"comethold/internal/wire"
+
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	feedHold  = time.Second             // an answer without news comes after this
+	staleFrom = 1300 * time.Millisecond // without word from the majority
+)
+
+// Registrar is the control plane of one node.
+type Registrar struct {
+	set   *settings.Settings
+	log   *event.Log
+	host  *Host
+	board *board
+	plat  *directory.Platform
+
+	poller *duty
+	mover  *duty
+
+	quit chan struct{}
+	once sync.Once
+	wg   sync.WaitGroup
+
+	mu       sync.Mutex
+	seen     map[string]seenNode
+	suspects map[string]map[string]time.Time
+	reports  map[string]map[string]time.Time
+	wells    map[string]feed.Report
+	bad      map[string]feed.Report
+	deskWake chan struct{}
+}
+
+type seenNode struct {
+	node feed.Node
+	at   time.Time
+}
+
+// New opens the vault and the cells of this node.
+func New(set *settings.Settings, log *event.Log) (*Registrar, error) {
+	v, empty, err := vault.Open(set.DataDirectory, func(err error) {
+		log.Warn(event.DiskRefused).Err(err).Msg("the disk refuses a write; trying again")
+	})
+	if err != nil {
+		return nil, err
+	}
+	if empty && !set.FirstStart {
+		log.Warn(event.DiskEmpty).Msg("the disk is empty on a later start: joining as a new member")
+	}
+	id, err := Identity(v, set.IPAddress, set.FirstStart)
+	if err != nil {
+		return nil, err
+	}
+	self := Hello{ID: id, Addr: set.IPAddress, Zone: set.AvailabilityZone, Name: set.NodeName}
+	r := &Registrar{set: set, log: log, board: newBoard(), quit: make(chan struct{}),
+		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
+		reports: map[string]map[string]time.Time{}, wells: map[string]feed.Report{}, bad: map[string]feed.Report{},
+		deskWake: make(chan struct{}, 1)}
+	if set.Platform.Address != "" {
+		r.plat = directory.NewPlatform(set.Platform.Address)
+	}
+	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, log)
+	r.host.changed = r.cellChanged
+	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
+	r.mover = newDuty(r.host, "mover", 3*time.Second)
+	var founders []cell.Seat
+	if set.FirstStart {
+		for _, a := range set.SeedHosts() {
+			founders = append(founders, cell.Seat{ID: cell.MemberID(a), Addr: a})
+		}
+	}
+	r.host.Open(ExchangeCell, founders)
+	return r, nil
+}
+
+// Run does the work until Stop.
+func (r *Registrar) Run() error {
+	for _, f := range []func(){
+		func() { r.poller.run(r.quit) },
+		func() { r.mover.run(r.quit) },
+		r.pollLoop, r.deskLoop,
+	} {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); f() }()
+	}
+	return r.host.Run()
+}
+
+// Stop ends the duties, then the cells.
+func (r *Registrar) Stop() {
+	r.once.Do(func() {
+		close(r.quit)
+		done := make(chan struct{})
+		go func() { r.wg.Wait(); close(done) }()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+		}
+		r.host.Stop()
+		_ = r.host.vault.Close()
+	})
+}
+
+// Reload takes new settings: the seeds may have been exchanged.
+func (r *Registrar) Reload(set *settings.Settings) {
+	r.host.do(func() { r.host.seeds = set.SeedHosts() })
+}
+
+// cellChanged runs on the host's loop.
+func (r *Registrar) cellChanged(name string) {
+	m := r.host.cells[name]
+	if m == nil {
+		return
+	}
+	if name != ExchangeCell {
+		r.board.setMarks(marksOf(name, m))
+		return
+	}
+	r.board.setConfig(configOf(m))
+	r.board.setNodes(m.Applied(), nodesOf(m))
+	have := indexesOf(m)
+	for ix, rec := range have {
+		if r.host.cells[ix] == nil {
+			r.host.Open(ix, rec.Seats)
+		}
+	}
+	for ix := range r.host.cells {
+		if _, ok := have[ix]; !ok && ix != ExchangeCell {
+			r.host.Close(ix)
+			r.board.dropMarks(ix)
+		}
+	}
+	select {
+	case r.deskWake <- struct{}{}:
+	default:
+	}
+}
+
+// Operator serves what the operator calls.
+func (r *Registrar) Operator() *echo.Echo {
+	e := newEcho(r.log)
+	e.POST("/Configuration.Replace", r.replace)
+	e.GET("/Configuration.Read", r.read)
+	return e
+}
+
+// Inner serves what the system's own processes call.
+func (r *Registrar) Inner() *echo.Echo {
+	e := newEcho(r.log)
+	e.POST("/cells", func(c echo.Context) error {
+		var b Batch
+		if err := wire.Read(c.Request().Body, &b); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		r.host.Receive(&b)
+		return c.NoContent(http.StatusNoContent)
+	})
+	decide := func(f func(context.Context, *proposal) verdict) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			var p proposal
+			if err := wire.Read(c.Request().Body, &p); err != nil {
+				return c.NoContent(http.StatusBadRequest)
+			}
+			ctx, cancel := context.WithTimeout(c.Request().Context(), orderPatience)
+			defer cancel()
+			return answer(c, f(ctx, &p))
+		}
+	}
+	e.POST("/propose", decide(func(ctx context.Context, p *proposal) verdict {
+		return r.host.proposeHere(ctx, p.Cell, p.Txn)
+	}))
+	e.POST("/confirm", decide(func(ctx context.Context, p *proposal) verdict {
+		return r.host.readHere(ctx, p.Cell)
+	}))
+	e.POST("/move", func(c echo.Context) error {
+		var o moveOrder
+		if err := wire.Read(c.Request().Body, &o); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		ctx, cancel := context.WithTimeout(c.Request().Context(), orderPatience)
+		defer cancel()
+		return answer(c, r.moveHere(ctx, &o))
+	})
+	e.POST("/list", func(c echo.Context) error {
+		var l feed.List
+		if err := wire.Read(c.Request().Body, &l); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		if l.Leafs != nil {
+			return answer(c, r.board.setList(&l))
+		}
+		var have feed.Stamp
+		if cur := r.board.getList(); cur != nil {
+			have = cur.Stamp
+		}
+		return answer(c, have)
+	})
+	e.POST("/feed", r.feed)
+	return e
+}
+
+func answer(c echo.Context, v any) error {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, wire.ContentType, wire.Pack(b))
+}
+
+func newEcho(log *event.Log) *echo.Echo {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) (err error) {
+			defer func() {
+				if p := recover(); p != nil {
+					log.Error(event.RequestPanic).Any("panic", p).Str("path", c.Path()).Msg("a request failed inside")
+					err = c.NoContent(http.StatusInternalServerError)
+				}
+			}()
+			return next(c)
+		}
+	})
+	return e
+}
+
+func (r *Registrar) fresh() time.Duration {
+	var f time.Duration
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			f = m.Fresh(r.host.now())
+		}
+	})
+	return f
+}
+
+// feed answers a switch as soon as there is news.
+func (r *Registrar) feed(c echo.Context) error {
+	var call feed.Call
+	if err := wire.Read(c.Request().Body, &call); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	r.hear(&call)
+	hold := time.NewTimer(feedHold)
+	defer hold.Stop()
+	for {
+		news, change := r.board.newer(call.Have)
+		if news.Stale = r.fresh() > staleFrom; news.Stale || call.Now || !news.Empty() {
+			return answer(c, &news)
+		}
+		select {
+		case <-change:
+		case <-hold.C:
+			news.Stale = r.fresh() > staleFrom
+			return answer(c, &news)
+		case <-c.Request().Context().Done():
+			return nil
+		case <-r.quit:
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// hear notes who calls and what they report.
+func (r *Registrar) hear(call *feed.Call) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wake := false
+	if call.Node.Name != "" {
+		_, known := r.seen[call.Node.Name]
+		r.seen[call.Node.Name] = seenNode{call.Node, now}
+		wake = !known
+	}
+	for _, name := range call.Suspects {
+		if r.suspects[name] == nil {
+			r.suspects[name] = map[string]time.Time{}
+		}
+		r.suspects[name][call.Node.Name] = now
+	}
+	for _, rep := range call.Reports {
+		wake = true
+		if rep.Well {
+			r.wells[rep.Leaf] = rep
+			delete(r.reports, rep.Leaf)
+			continue
+		}
+		if r.reports[rep.Leaf] == nil {
+			r.reports[rep.Leaf] = map[string]time.Time{}
+		}
+		r.reports[rep.Leaf][call.Node.Name] = now
+		r.bad[rep.Leaf] = rep
+	}
+	if wake {
+		select {
+		case r.deskWake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func innerAddr(host string, port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
+
+// InnerAddress is where this program listens for the system's own processes.
+func InnerAddress(set *settings.Settings) string {
+	return innerAddr(set.IPAddress, set.PortOf(settings.Registrar))
+}
--- /dev/null
+++ b/internal/registrar/schema.go
@@ -0,0 +1,223 @@
+package registrar
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"sort"
+	"strings"
+
+	"comethold/internal/cell"
+	"comethold/internal/feed"
+	"comethold/internal/numbering"
+	"comethold/internal/wire"
+)
+
+// ExchangeCell holds what is not any one index's: the operator's
+// configuration, the directory of nodes, the list of index cells and the
+// leases of duties.
+const ExchangeCell = "exchange"
+
+// Keys of the exchange cell.
+const (
+	keyVersion = "config/version"
+	keyRaw     = "config/raw"
+	keyTaken   = "taken/" // + version: the digest of what was taken under it
+	keyNode    = "node/"  // + name: feed.Node
+	keyIndex   = "index/" // + name: indexRecord
+	keyNextID  = "index-next"
+	keyDuty    = "duty/" // + name: dutyRecord
+)
+
+// Keys of an index cell.
+const (
+	keyCut  = "cut"   // cutRecord
+	keyMark = "mark/" // + leaf: feed.Mark
+)
+
+// keepTaken is how many versions are remembered for calls that are sent again.
+const keepTaken = 64
+
+type indexRecord struct {
+	Seats  []cell.Seat `cbor:"1,keyasint"` // the founders of its cell
+	Routes []string    `cbor:"2,keyasint"`
+	Cut    []string    `cbor:"3,keyasint"`
+}
+
+type cutRecord struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Cut     []string `cbor:"2,keyasint"`
+	Routes  []string `cbor:"3,keyasint"`
+}
+
+func takenKey(version uint64) string { return fmt.Sprintf("%s%020d", keyTaken, version) }
+
+func digest(raw []byte) []byte { s := sha256.Sum256(raw); return s[:16] }
+
+func encode(v any) cell.Value {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		panic(err) // our own records always encode
+	}
+	return cell.Bytes(b)
+}
+
+func configOf(m *cell.Member) (uint64, []byte) {
+	v, ok := m.Get(keyVersion)
+	if !ok || v.Int == nil {
+		return 0, nil
+	}
+	raw, _ := m.Get(keyRaw)
+	return v.Int.Uint64(), raw.Bytes
+}
+
+// configTxn makes the transaction that puts a configuration on top of base.
+func configTxn(m *cell.Member, c *numbering.Configuration, raw []byte) cell.Txn {
+	base, old := configOf(m)
+	t := cell.Txn{Ops: []cell.Op{
+		{Kind: cell.OpPut, Key: keyVersion, Value: cell.Int(int64(c.Version))},
+		{Kind: cell.OpPut, Key: takenKey(c.Version), Value: cell.Bytes(digest(raw))},
+	}}
+	if base == 0 {
+		t.Conditions = []cell.Condition{{Key: keyVersion, Absent: true}}
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyRaw, Value: cell.Bytes(raw)})
+	} else {
+		t.Conditions = []cell.Condition{{Key: keyVersion, Equals: cell.Int(int64(base))}}
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPatch, Key: keyRaw, Value: cell.Bytes(cell.MakePatch(old, raw))})
+	}
+	var taken []string
+	for _, k := range m.Keys() {
+		if strings.HasPrefix(k, keyTaken) {
+			taken = append(taken, k)
+		}
+	}
+	for i := 0; i+keepTaken <= len(taken); i++ {
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: taken[i]})
+	}
+	return t
+}
+
+func nodesOf(m *cell.Member) []feed.Node {
+	var out []feed.Node
+	for _, k := range m.Keys() {
+		if strings.HasPrefix(k, keyNode) {
+			var n feed.Node
+			if v, _ := m.Get(k); wire.Unmarshal(v.Bytes, &n) == nil {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
+
+func indexesOf(m *cell.Member) map[string]indexRecord {
+	out := map[string]indexRecord{}
+	for _, k := range m.Keys() {
+		if strings.HasPrefix(k, keyIndex) {
+			var r indexRecord
+			if v, _ := m.Get(k); wire.Unmarshal(v.Bytes, &r) == nil {
+				out[strings.TrimPrefix(k, keyIndex)] = r
+			}
+		}
+	}
+	return out
+}
+
+func marksOf(name string, m *cell.Member) feed.Marks {
+	out := feed.Marks{Index: name, Slot: m.Applied(), Drained: map[string]feed.Mark{}}
+	for _, k := range m.Keys() {
+		v, _ := m.Get(k)
+		switch {
+		case strings.HasPrefix(k, keyMark):
+			var mk feed.Mark
+			if wire.Unmarshal(v.Bytes, &mk) == nil {
+				out.Drained[strings.TrimPrefix(k, keyMark)] = mk
+			}
+		case k == keyCut:
+			var c cutRecord
+			if wire.Unmarshal(v.Bytes, &c) == nil {
+				out.Cut, out.Routes = c.Cut, c.Routes
+			}
+		}
+	}
+	return out
+}
+
+// cutOf groups the routes of a configuration into indexes: the routes that
+// name the same services. The key is the sorted services.
+func cutOf(c *numbering.Configuration) map[string][]string {
+	out := map[string][]string{}
+	for i := range c.Routes {
+		names := append([]string(nil), c.Routes[i].ServiceNames()...)
+		sort.Strings(names)
+		key := strings.Join(names, "\x00")
+		out[key] = append(out[key], c.Routes[i].Name)
+	}
+	for _, r := range out {
+		sort.Strings(r)
+	}
+	return out
+}
+
+// recut decides which index each group of routes belongs to. An index follows
+// its routes: a group keeps the index with which it shares the most, then the
+// one that has its services; what is left gets new ones or loses its index.
+func recut(old map[string]indexRecord, groups map[string][]string) (kept map[string]string, fresh []string, gone []string) {
+	kept = map[string]string{} // index -> group
+	home := map[string]string{}
+	for name, r := range old {
+		for _, route := range r.Routes {
+			home[route] = name
+		}
+	}
+	type link struct {
+		index, group string
+		shared       int
+	}
+	var links []link
+	for g, routes := range groups {
+		n := map[string]int{}
+		for _, r := range routes {
+			if ix := home[r]; ix != "" {
+				n[ix]++
+			}
+		}
+		for ix, k := range n {
+			links = append(links, link{ix, g, k * 2})
+		}
+		for ix, r := range old {
+			if strings.Join(r.Cut, "\x00") == g {
+				links = append(links, link{ix, g, n[ix]*2 + 1})
+			}
+		}
+	}
+	sort.Slice(links, func(i, j int) bool {
+		a, b := links[i], links[j]
+		if a.shared != b.shared {
+			return a.shared > b.shared
+		}
+		if a.index != b.index {
+			return a.index < b.index
+		}
+		return a.group < b.group
+	})
+	done := map[string]bool{}
+	for _, l := range links {
+		if _, used := kept[l.index]; !used && !done[l.group] {
+			kept[l.index] = l.group
+			done[l.group] = true
+		}
+	}
+	for g := range groups {
+		if !done[g] {
+			fresh = append(fresh, g)
+		}
+	}
+	for ix := range old {
+		if _, ok := kept[ix]; !ok {
+			gone = append(gone, ix)
+		}
+	}
+	sort.Strings(fresh)
+	sort.Strings(gone)
+	return kept, fresh, gone
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,172 @@
+// Package settings reads and checks the settings file of a process.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"comethold/internal/numbering"
+
+	"github.com/BurntSushi/toml"
+	"github.com/go-playground/validator/v10"
+)
+
+// Env is the variable that names the settings file.
+const Env = "COMETHOLD_SETTINGS"
+
+// ErrSettings is the error of this layer.
+var ErrSettings = errors.New("settings")
+
+// Settings of one process. Fields that are not listed here are ignored.
+type Settings struct {
+	NodeName          string            `toml:"nodeName" validate:"required"`
+	Role              string            `toml:"role"`
+	Serves            []string          `toml:"serves"`
+	IPAddress         string            `toml:"ipAddress" validate:"required,ip4_addr"`
+	AvailabilityZone  string            `toml:"availabilityZone" validate:"required"`
+	RegionName        string            `toml:"regionName"`
+	InternalPortRange []int             `toml:"internalPortRange" validate:"len=2,dive,min=1,max=65535"`
+	SeedNodes         []string          `toml:"seedNodes" validate:"min=1,dive,hostname_port"`
+	FirstStart        bool              `toml:"firstStart"`
+	DataDirectory     string            `toml:"dataDirectory"`
+	HeartbeatMs       int64             `toml:"heartbeatIntervalMs" validate:"min=0"`
+	Zones             map[string]string `toml:"zones"`
+	Listen            Listen            `toml:"listenAddresses"`
+	Limits            Limits            `toml:"limits"`
+	Bounds            Bounds            `toml:"timingBounds"`
+	Platform          Platform          `toml:"platformApi"`
+	Log               Log               `toml:"log"`
+}
+
+// Listen holds the addresses of what the role serves.
+type Listen struct {
+	Frontend     string `toml:"frontend" validate:"omitempty,hostname_port"`
+	Readiness    string `toml:"readiness" validate:"omitempty,hostname_port"`
+	ControlPlane string `toml:"controlPlane" validate:"omitempty,hostname_port"`
+}
+
+// Limits of the process.
+type Limits struct {
+	MemoryMb        int64 `toml:"memoryMb" validate:"min=0"`
+	FileDescriptors int64 `toml:"fileDescriptors" validate:"min=0"`
+	DiskMb          int64 `toml:"diskMb" validate:"min=0"`
+}
+
+// Bounds are the figures of the rules in force.
+type Bounds struct {
+	DrainMs          int64   `toml:"drainMs" validate:"min=0"`
+	GracePeriodS     float64 `toml:"gracePeriodS" validate:"min=0"`
+	ConfigApplyMs    int64   `toml:"configApplyMs" validate:"min=0"`
+	RetryBudgetRatio float64 `toml:"retryBudgetRatio" validate:"min=0"`
+	RetryWindowS     float64 `toml:"retryWindowS" validate:"min=0"`
+	RetryBudgetSlack float64 `toml:"retryBudgetSlack" validate:"min=0"`
+}
+
+// Platform is where the list of leafs is kept.
+type Platform struct {
+	Address  string  `toml:"address" validate:"omitempty,hostname_port"`
+	RatePerS float64 `toml:"ratePerS" validate:"min=0"`
+	MaxLagMs int64   `toml:"maxLagMs" validate:"min=0"`
+}
+
+// Log sets what is logged: trace, debug, info, warn or error.
+type Log struct {
+	Level string `toml:"level" validate:"omitempty,oneof=trace debug info warn error"`
+}
+
+var check = func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
+	return v
+}()
+
+// Path returns the path that the environment names.
+func Path() (string, error) {
+	p := os.Getenv(Env)
+	if p == "" {
+		return "", fmt.Errorf("%w: the variable %s names no file", ErrSettings, Env)
+	}
+	return p, nil
+}
+
+// Load reads and checks a settings file; the error names every fault.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSettings, err)
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks settings.
+func Parse(raw []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSettings, err)
+	}
+	var faults []string
+	if err := check.Struct(s); err != nil {
+		faults = numbering.Faults(err)
+	}
+	if len(s.InternalPortRange) == 2 && s.InternalPortRange[1] < s.InternalPortRange[0]+1 {
+		faults = append(faults, "internalPortRange: needs two ports at least, the lower first")
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("%w: %s", ErrSettings, strings.Join(faults, "; "))
+	}
+	return s, nil
+}
+
+// Heartbeat is the pause between heartbeats.
+func (s *Settings) Heartbeat() time.Duration {
+	if s.HeartbeatMs <= 0 {
+		return time.Second
+	}
+	return time.Duration(s.HeartbeatMs) * time.Millisecond
+}
+
+// Window is the span over which the retry budget counts.
+func (b Bounds) Window() time.Duration {
+	return time.Duration(b.RetryWindowS * float64(time.Second))
+}
+
+// Grace is the time between SIGTERM and SIGKILL.
+func (b Bounds) Grace() time.Duration {
+	return time.Duration(b.GracePeriodS * float64(time.Second))
+}
+
+// Region returns the region of a zone.
+func (s *Settings) Region(zone string) string {
+	if r, ok := s.Zones[zone]; ok {
+		return r
+	}
+	return zone
+}
+
+// PortOf says which internal port a program listens on; the internal range is
+// the same on every machine.
+func (s *Settings) PortOf(p Program) int { return s.InternalPortRange[0] + int(p) }
+
+// Program is one of the two programs of a node.
+type Program int
+
+// The programs.
+const (
+	Registrar Program = iota
+	Switch
+)
+
+// SeedHosts returns the hosts of the seeds.
+func (s *Settings) SeedHosts() []string {
+	out := make([]string, 0, len(s.SeedNodes))
+	for _, a := range s.SeedNodes {
+		if i := strings.LastIndexByte(a, ':'); i > 0 {
+			out = append(out, a[:i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/switchboard/front.go
@@ -0,0 +1,225 @@
+package switchboard
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comethold/internal/event"
+	"comethold/internal/gather"
+	"comethold/internal/numbering"
+	"comethold/internal/trunk"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Front serves the clients.
+type Front struct {
+	state *state
+	asker *gather.Asker
+	log   *event.Log
+
+	leaving atomic.Bool
+	mu      sync.Mutex
+	idle    map[net.Conn]time.Time
+}
+
+const (
+	defaultBody   = 1 << 20
+	defaultHeader = 64 << 10
+	readAtMost    = 30 * time.Second // for the head of a request
+	sparePerHop   = 2 * time.Millisecond
+)
+
+func newFront(s *state, a *gather.Asker, log *event.Log) *Front {
+	return &Front{state: s, asker: a, log: log, idle: map[net.Conn]time.Time{}}
+}
+
+// server makes the server of the clients' port. Every request goes to serve:
+// hosts and paths are the operator's, so echo routes none of them itself.
+func (f *Front) server() *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc { return f.serve })
+	return &http.Server{Handler: e, ConnState: f.connState, ReadHeaderTimeout: readAtMost,
+		MaxHeaderBytes: 1 << 20, ErrorLog: nil}
+}
+
+func (f *Front) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == http.StateIdle {
+		f.idle[c] = time.Now()
+	} else {
+		delete(f.idle, c)
+	}
+}
+
+// sweep closes connections that clients leave idle for too long.
+func (f *Front) sweep() {
+	p := f.state.plan.Load()
+	if p == nil || p.Limits.IdleTimeoutMs <= 0 {
+		return
+	}
+	limit := time.Duration(p.Limits.IdleTimeoutMs) * time.Millisecond
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, since := range f.idle {
+		if now.Sub(since) > limit {
+			_ = c.Close()
+			delete(f.idle, c)
+		}
+	}
+}
+
+func (f *Front) refuse(w http.ResponseWriter, status int, why string) error {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(why)+1))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, why+"\n")
+	return nil
+}
+
+// serve handles one request under the plan that is in force as it arrives.
+func (f *Front) serve(c echo.Context) (err error) {
+	start := time.Now()
+	w, r := c.Response().Writer, c.Request()
+	defer func() {
+		if p := recover(); p != nil {
+			f.log.Error(event.RequestPanic).Any("panic", p).Msg("a request failed inside")
+			err = f.refuse(w, http.StatusInternalServerError, "internal failure")
+		}
+	}()
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	plan := f.state.plan.Load()
+	if plan == nil {
+		w.Header().Set("Retry-After", "0.5")
+		return f.refuse(w, http.StatusServiceUnavailable, "no configuration yet")
+	}
+	target, path := targetOf(r)
+	line := plan.Find(r.Host, path)
+	if line == nil {
+		return f.refuse(w, http.StatusNotFound, "no route")
+	}
+	req, status, why := f.read(w, r, plan, target)
+	if status != 0 {
+		return f.refuse(w, status, why)
+	}
+	left := line.Timeout
+	if v := r.Header.Get(trunk.HeaderDeadline); v != "" {
+		ms, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(ms > 0) || ms > 1e12 {
+			return f.refuse(w, http.StatusBadRequest, trunk.HeaderDeadline+" holds no time")
+		}
+		left = min(left, time.Duration(ms*float64(time.Millisecond))-sparePerHop)
+	}
+	req.Deadline = start.Add(max(left, time.Millisecond))
+	return f.answer(w, r.Method, f.asker.Ask(line, req, start))
+}
+
+// targetOf returns the raw target and its path.
+func targetOf(r *http.Request) (target, path string) {
+	target = r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		if r.Method == http.MethodConnect || r.URL == nil || r.URL.Path == "" {
+			return target, ""
+		}
+		target = r.URL.RequestURI()
+	}
+	path = target
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	return target, path
+}
+
+// read takes in the whole request within the limits.
+func (f *Front) read(w http.ResponseWriter, r *http.Request, plan *numbering.Plan, target string) (*trunk.Request, int, string) {
+	ids := r.Header[trunk.HeaderID]
+	if len(ids) != 1 || ids[0] == "" {
+		return nil, http.StatusBadRequest, "needs one " + trunk.HeaderID
+	}
+	size := len(r.Method) + len(target) + len(r.Host) + 24
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			size += len(k) + len(v) + 4
+		}
+	}
+	limit := int64(defaultHeader)
+	if plan.Limits.MaxHeaderBytes > 0 {
+		limit = plan.Limits.MaxHeaderBytes
+	}
+	if int64(size) > limit {
+		return nil, http.StatusRequestHeaderFieldsTooLarge, "the header is too large"
+	}
+	req := &trunk.Request{Method: r.Method, Target: target, Host: r.Host, Header: trunk.PassedOn(r.Header), ID: ids[0]}
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		switch r.Method {
+		case http.MethodPost, http.MethodPut, http.MethodPatch:
+			req.Sized = true
+		}
+		return req, 0, ""
+	}
+	limit = defaultBody
+	if plan.Limits.MaxBodyBytes > 0 {
+		limit = plan.Limits.MaxBodyBytes
+	}
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
+	}
+	req.Sized = true
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		var big *http.MaxBytesError
+		if errors.As(err, &big) {
+			return nil, http.StatusRequestEntityTooLarge, "the body is too large"
+		}
+		return nil, http.StatusBadRequest, "the body broke off"
+	}
+	req.Body = body
+	return req, 0, ""
+}
+
+// answer writes a reply.
+func (f *Front) answer(w http.ResponseWriter, method string, a *gather.Reply) error {
+	h := w.Header()
+	if a.Header == nil {
+		if a.RetryAfter > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+		}
+		return f.refuse(w, a.Status, a.Why)
+	}
+	for k, v := range trunk.PassedOn(a.Header) {
+		h[k] = v
+	}
+	if id := a.Header[trunk.HeaderID]; id != nil {
+		h[trunk.HeaderID] = id
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // none is added
+	}
+	if method == http.MethodHead {
+		if n := a.Header["Content-Length"]; n != nil {
+			h["Content-Length"] = n
+		}
+	} else if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if len(a.Body) > 0 {
+		_, _ = w.Write(a.Body)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trunk/trunk.go
@@ -0,0 +1,516 @@
+// Package trunk keeps the connections to leafs, chooses the leaf for a try and
+// learns from its answers how the leaf is.
+package trunk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"comethold/internal/event"
+	"comethold/internal/feed"
+)
+
+// Timing and weights of the choice. Ours; see docs/design.md.
+const (
+	dialLimit   = 600 * time.Millisecond
+	firstBar    = 400 * time.Millisecond
+	longestBar  = 3 * time.Second
+	ewmaWeight  = 0.2
+	failuresBar = 3
+	farFactor   = 1.0 // how many times its delay a far leaf must be better
+	rampTime    = 2 * time.Second
+)
+
+// Health is the explicit state of a trunk.
+type Health uint8
+
+// States: Clear takes calls, Barred takes none, OnTrial takes one at a time.
+const (
+	Clear Health = iota
+	Barred
+	OnTrial
+)
+
+// Trunk is one leaf as this node sees it.
+type Trunk struct {
+	leaf  feed.Leaf
+	group *Group
+
+	idle   []*line
+	open   int // lines, idle or at work
+	active int // calls at work
+
+	health   Health
+	barSpan  time.Duration
+	barUntil time.Time
+	marked   bool // drained by its index cell
+	removed  bool // off the list
+	failures int
+	lastGood time.Time
+	clearAt  time.Time
+	latency  float64 // seconds, smoothed
+	samples  int
+	probing  bool
+}
+
+// Group is the leafs of one service.
+type Group struct {
+	name   string
+	trunks []*Trunk
+	limit  int // lines a leaf takes from this node
+	health string
+	mean   float64 // seconds, smoothed over all leafs
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Frame holds every group of this node.
+type Frame struct {
+	zone string
+	log  *event.Log
+	dial DialFunc
+
+	mu     sync.Mutex
+	groups map[string]*Group
+	byID   map[string]*Trunk
+	delay  map[string]float64 // seconds that opening a line to a zone takes
+	limits map[string]int
+	paths  map[string]string
+	nodes  int
+
+	// Report is told of leafs that turn bad or well. It must not block.
+	Report func(feed.Report)
+}
+
+// NewFrame makes an empty frame for a node in a zone.
+func NewFrame(zone string, dial DialFunc, log *event.Log) *Frame {
+	return &Frame{zone: zone, dial: dial, log: log, groups: map[string]*Group{}, byID: map[string]*Trunk{},
+		delay: map[string]float64{}, limits: map[string]int{}, paths: map[string]string{}, nodes: 1, Report: func(feed.Report) {}}
+}
+
+// SetServices takes the connection limits and health paths of a plan.
+func (f *Frame) SetServices(limits map[string]int, paths map[string]string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits, f.paths = limits, paths
+	f.relimit()
+}
+
+// SetNodes tells among how many nodes the connection limits are divided.
+func (f *Frame) SetNodes(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes = max(1, n)
+	f.relimit()
+}
+
+func (f *Frame) relimit() {
+	for name, g := range f.groups {
+		g.limit = 64
+		if l := f.limits[name]; l > 0 {
+			g.limit = max(1, l/f.nodes)
+		}
+		g.health = f.paths[name]
+	}
+}
+
+func (f *Frame) group(name string) *Group {
+	g := f.groups[name]
+	if g == nil {
+		g = &Group{name: name}
+		f.groups[name] = g
+		f.relimit()
+	}
+	return g
+}
+
+// SetList takes the platform's list.
+func (f *Frame) SetList(leafs []feed.Leaf) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	listed := make(map[string]bool, len(leafs))
+	for _, l := range leafs {
+		listed[l.ID] = true
+		t := f.byID[l.ID]
+		if t == nil {
+			g := f.group(l.Service)
+			t = &Trunk{group: g, clearAt: now}
+			f.byID[l.ID] = t
+			g.trunks = append(g.trunks, t)
+		}
+		t.leaf = l
+	}
+	for id, t := range f.byID {
+		if !listed[id] {
+			f.remove(id, t)
+		}
+	}
+}
+
+func (f *Frame) remove(id string, t *Trunk) {
+	t.removed = true
+	delete(f.byID, id)
+	for i, o := range t.group.trunks {
+		if o == t {
+			t.group.trunks = append(t.group.trunks[:i:i], t.group.trunks[i+1:]...)
+			break
+		}
+	}
+	f.hangUp(t)
+}
+
+// hangUp closes the idle lines of a trunk.
+func (f *Frame) hangUp(t *Trunk) {
+	for _, l := range t.idle {
+		_ = l.conn.Close()
+		t.open--
+	}
+	t.idle = nil
+}
+
+// SetMarks takes the leafs that the index cells hold as drained.
+func (f *Frame) SetMarks(drained map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, t := range f.byID {
+		was := t.marked
+		t.marked = drained[id]
+		if was && !t.marked {
+			f.clear(t, time.Now())
+		}
+	}
+}
+
+// Usable counts the leafs of a service that would take a call now.
+func (f *Frame) Usable(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.groups[service]
+	if g == nil {
+		return 0
+	}
+	n, now := 0, time.Now()
+	for _, t := range g.trunks {
+		if t.takes(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Trunk) takes(now time.Time) bool {
+	return !t.leaf.Draining && !t.marked && t.health != Barred && (t.health != OnTrial || t.active == 0) && t.active < t.group.limit
+}
+
+// score estimates how long a call would take, in seconds, with what is far
+// counted against it.
+func (f *Frame) score(t *Trunk, now time.Time) float64 {
+	far := 0.0
+	if t.leaf.Zone != f.zone {
+		d, ok := f.delay[t.leaf.Zone]
+		if !ok {
+			d = 0.02
+		}
+		far = d
+	}
+	work := t.group.mean
+	if work == 0 {
+		work = 0.02
+	}
+	lat := t.latency
+	if t.samples == 0 {
+		lat = work + far
+	}
+	slots := float64(max(1, t.leaf.Slots))
+	s := lat + farFactor*far + float64(t.active)*work/slots*1.5
+	if t.leaf.Cold {
+		s += work * 0.5
+	}
+	if since := now.Sub(t.clearAt); t.health == Clear && t.barSpan > 0 && since < rampTime {
+		s += work * 4 * (1 - float64(since)/float64(rampTime)) // back gradually
+	}
+	return s
+}
+
+// choose picks the leaf for a try, leaving out those already tried.
+func (f *Frame) choose(g *Group, tried []*Trunk, now time.Time) *Trunk {
+	var best *Trunk
+	var bestScore float64
+next:
+	for _, t := range g.trunks {
+		if !t.takes(now) {
+			continue
+		}
+		for _, o := range tried {
+			if o == t {
+				continue next
+			}
+		}
+		s := f.score(t, now) * (1 + 0.1*rand.Float64())
+		if best == nil || s < bestScore {
+			best, bestScore = t, s
+		}
+	}
+	return best
+}
+
+// Seize reserves the best leaf of a service for one call, or returns nil.
+func (f *Frame) Seize(service string, tried []*Trunk) *Trunk {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.groups[service]
+	if g == nil {
+		return nil
+	}
+	t := f.choose(g, tried, time.Now())
+	if t != nil {
+		t.active++
+	}
+	return t
+}
+
+// Release gives up a reservation that was not used.
+func (f *Frame) Release(t *Trunk) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.active--
+}
+
+// line takes an idle line or opens a new one.
+func (f *Frame) line(ctx context.Context, t *Trunk) (*line, error) {
+	for {
+		f.mu.Lock()
+		var l *line
+		if n := len(t.idle); n > 0 {
+			l = t.idle[n-1]
+			t.idle = t.idle[:n-1]
+		} else {
+			t.open++
+		}
+		f.mu.Unlock()
+		if l == nil {
+			break
+		}
+		if time.Now().Before(l.until) && l.quiet() {
+			return l, nil
+		}
+		if l.surplus {
+			f.log.Warn(event.LeafSurplus).Str("leaf", t.leaf.ID).Msg("a leaf sent more after a whole answer; the connection is given up")
+		}
+		f.drop(t, l)
+	}
+	start := time.Now()
+	dctx, cancel := context.WithTimeout(ctx, dialLimit)
+	c, err := f.dial(dctx, "tcp4", t.leaf.Addr)
+	cancel()
+	if err != nil {
+		f.mu.Lock()
+		t.open--
+		f.mu.Unlock()
+		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+	}
+	took := time.Since(start).Seconds()
+	f.mu.Lock()
+	if d, ok := f.delay[t.leaf.Zone]; !ok || took < d {
+		f.delay[t.leaf.Zone] = took
+	} else {
+		f.delay[t.leaf.Zone] = d + 0.01*(took-d)
+	}
+	f.mu.Unlock()
+	return newLine(c), nil
+}
+
+func (f *Frame) drop(t *Trunk, l *line) {
+	_ = l.conn.Close()
+	f.mu.Lock()
+	t.open--
+	f.mu.Unlock()
+}
+
+func (f *Frame) giveBack(t *Trunk, l *line) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.removed || len(t.idle) >= t.group.limit {
+		_ = l.conn.Close()
+		t.open--
+		return
+	}
+	t.idle = append(t.idle, l)
+}
+
+// Call sends a request over a trunk that Seize reserved, and releases it. The
+// leaf is named, so that another at its address turns the request away.
+func (f *Frame) Call(t *Trunk, r *Request) (*Answer, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	defer cancel()
+	l, err := f.line(ctx, t)
+	var a *Answer
+	var took time.Duration
+	start := time.Now()
+	if err == nil {
+		var reuse bool
+		a, reuse, err = l.call(r, t.leaf.ID, start)
+		took = time.Since(start)
+		if reuse {
+			f.giveBack(t, l)
+		} else {
+			f.drop(t, l)
+		}
+	}
+	f.learn(t, a, err, start, took)
+	return a, err
+}
+
+// learn takes in how a call went.
+func (f *Frame) learn(t *Trunk, a *Answer, err error, start time.Time, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.active--
+	now := time.Now()
+	switch {
+	case err == nil && a.Status/100 == 2:
+		s := took.Seconds()
+		if t.samples == 0 {
+			t.latency = s
+		} else {
+			t.latency += ewmaWeight * (s - t.latency)
+		}
+		t.samples++
+		g := t.group
+		if g.mean == 0 {
+			g.mean = s
+		} else {
+			g.mean += 0.02 * (s - g.mean)
+		}
+		t.failures, t.lastGood = 0, now
+		if t.health != Clear {
+			f.clear(t, now)
+		}
+	case err == nil && a.Status == 421:
+		f.bar(t, now, "another leaf has its address")
+	case err == nil && a.NotRun():
+		t.latency += ewmaWeight * (2*t.group.mean + t.latency*0.5) // full: seem slower for a while
+		if t.health == OnTrial {
+			f.bar(t, now, "refused on trial")
+		}
+	case err == nil:
+		t.lastGood = now // it answers, if badly
+	default:
+		t.failures++
+		if t.health == OnTrial || t.failures >= failuresBar || errors.Is(err, ErrNotSent) || (errors.Is(err, ErrLate) && t.lastGood.Before(start)) {
+			f.bar(t, now, err.Error())
+		}
+	}
+}
+
+// Overdue is told that a call has waited longer than usual since it began. A
+// leaf from which nothing came in all that time is taken for silent.
+func (f *Frame) Overdue(t *Trunk, since time.Time, usual time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if t.lastGood.Before(since) && now.Sub(since) >= 3*usual && t.health == Clear {
+		f.bar(t, now, "silent")
+	}
+}
+
+// bar takes a trunk out of service for a while that grows.
+func (f *Frame) bar(t *Trunk, now time.Time, why string) {
+	if t.health == Barred || t.removed {
+		return
+	}
+	t.health = Barred
+	t.barSpan = min(max(firstBar, 2*t.barSpan), longestBar)
+	t.barUntil = now.Add(t.barSpan)
+	f.hangUp(t)
+	f.log.Info(event.LeafMarked).Str("leaf", t.leaf.ID).Str("service", t.leaf.Service).Str("why", why).Msg("leaf barred on this node")
+	f.Report(feed.Report{Leaf: t.leaf.ID, Service: t.leaf.Service})
+	f.probeLater(t, t.barSpan)
+}
+
+// clear puts a trunk back in service; traffic comes back gradually.
+func (f *Frame) clear(t *Trunk, now time.Time) {
+	if t.health == Clear && !t.marked {
+		return
+	}
+	t.health, t.failures, t.clearAt = Clear, 0, now
+	t.latency, t.samples = 0, 0
+	f.log.Info(event.LeafCleared).Str("leaf", t.leaf.ID).Str("service", t.leaf.Service).Msg("leaf clear on this node")
+	f.Report(feed.Report{Leaf: t.leaf.ID, Service: t.leaf.Service, Well: true})
+}
+
+// probeLater asks a barred leaf after a while whether it is well.
+func (f *Frame) probeLater(t *Trunk, after time.Duration) {
+	if t.probing {
+		return
+	}
+	t.probing = true
+	time.AfterFunc(time.Duration((0.8+0.4*rand.Float64())*float64(after)), func() { f.probe(t) })
+}
+
+const probeLimit = 500 * time.Millisecond
+
+func (f *Frame) probe(t *Trunk) {
+	f.mu.Lock()
+	path, host := t.group.health, t.leaf.Addr
+	gone := t.removed || t.health != Barred
+	t.probing = !gone
+	leaving := t.leaf.Draining
+	f.mu.Unlock()
+	if gone {
+		return
+	}
+	well := false
+	if path != "" && !leaving {
+		r := &Request{Method: "GET", Target: path, Host: host, Deadline: time.Now().Add(probeLimit)}
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		l, err := f.line(ctx, t)
+		cancel()
+		if err == nil {
+			a, _, err := l.call(r, "", time.Now())
+			well = err == nil && a.Status == 200 && a.Header.Get(HeaderInstance) == t.leaf.ID
+			f.drop(t, l)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.probing = false
+	if t.removed || t.health != Barred {
+		return
+	}
+	if well {
+		f.clear(t, time.Now())
+		return
+	}
+	t.barSpan = min(2*t.barSpan, longestBar)
+	f.probeLater(t, min(t.barSpan, time.Second))
+}
+
+// Sweep closes idle lines whose time has passed.
+func (f *Frame) Sweep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, t := range f.byID {
+		keep := t.idle[:0]
+		for _, l := range t.idle {
+			if now.After(l.until) {
+				_ = l.conn.Close()
+				t.open--
+			} else {
+				keep = append(keep, l)
+			}
+		}
+		t.idle = keep
+	}
+}
+
+// Leaf returns the leaf of a trunk.
+func (t *Trunk) Leaf() feed.Leaf { return t.leaf }
