Forwarded proposals decode into a fresh verdict

Cause: an answer leaves absent fields as they were, so a forwarded proposal that was committed still read as 'no proposer' and was sent again until its time ran out. Seen as duties that nobody acted on for many seconds.

--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -529,8 +529,9 @@
 		if here {
 			v = f(ctx)
 		} else if addr != "" && addr != h.self.Addr {
-			err := h.call.Call(ctx, net.JoinHostPort(addr, strconv.Itoa(h.port)), path, in, &v)
-			if err != nil {
+			// Into a fresh verdict: what is absent on the wire stays as it was.
+			v = verdict{}
+			if err := h.call.Call(ctx, net.JoinHostPort(addr, strconv.Itoa(h.port)), path, in, &v); err != nil {
 				v = verdict{Unclear: true}
 			}
 		}
