Changes of the leaf list are told to holders of a list known here alone

Cause: a registrar tells what changed since the stamp that a holder names, but it knew changes only as differences of the lists that it had itself held. A leaf that came and went between two of them was never told as gone to a switch that had got the list in between from another registrar: the leaving went unnoticed until the next whole list. That is what a control process that comes back at once with its stored list produces.

A delta carries the stamp that it builds on and is taken by nobody else. Directories are told to neighbours of the same zone only.

Answers to callers that lack the same are worked out, encoded and compressed once for each change; changes of the directory are told at most every 0.3 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,12 +29,22 @@
 }
 
 // List is the platform's list at one moment: whole, or as what changed since
-// the stamp that the caller holds.
+// Base, which is of use to holders of that very list alone.
 type List struct {
 	Stamp Stamp    `cbor:"1,keyasint"`
 	Leafs []Leaf   `cbor:"2,keyasint"`
 	Delta bool     `cbor:"3,keyasint,omitempty"`
 	Gone  []string `cbor:"4,keyasint,omitempty"`
+	Base  Stamp    `cbor:"5,keyasint,omitempty"`
+}
+
+// Fits reports whether a holder of the list at have may take it: nothing is ever
+// taken back, and changes only by who holds what they build on.
+func (l *List) Fits(have Stamp, listed bool) bool {
+	if l.Delta {
+		return listed && have == l.Base && have.Less(l.Stamp)
+	}
+	return !listed || have.Less(l.Stamp)
 }
 
 // Marks are the leafs that an index cell holds as drained.
@@ -79,6 +89,7 @@
 	Delta    bool     `cbor:"3,keyasint,omitempty"`
 	Gone     []string `cbor:"4,keyasint,omitempty"`
 	Switches int      `cbor:"5,keyasint,omitempty"` // all that serve clients and are not down
+	Base     uint64   `cbor:"6,keyasint,omitempty"` // of a delta
 }
 
 // Config is a configuration, whole or as a patch on the version Base.
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -141,7 +141,7 @@
 		if err := wire.Read(c.Request().Body, &call); err != nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
-		b, err := wire.Marshal(o.state.news(call.Have))
+		b, err := wire.Marshal(o.state.news(call.Have, call.Node.Zone == o.Set.AvailabilityZone))
 		if err != nil {
 			return err
 		}
--- a/internal/office/state.go
+++ b/internal/office/state.go
@@ -91,7 +91,7 @@
 	if n.Config != nil {
 		s.takeConfig(n.Config)
 	}
-	if n.List != nil && (!s.listed || s.list.Less(n.List.Stamp)) && (s.listed || !n.List.Delta) {
+	if n.List != nil && n.List.Fits(s.list, s.listed) {
 		s.list, s.listed = n.List.Stamp, true
 		s.leafs = feed.Merge(s.leafs, n.List.Leafs, n.List.Gone, n.List.Delta, func(l feed.Leaf) string { return l.ID })
 		s.frame.SetList(s.leafs)
@@ -115,7 +115,7 @@
 		}
 		s.frame.SetMarks(drained)
 	}
-	if n.Nodes != nil && n.Nodes.Slot > s.slot {
+	if n.Nodes != nil && n.Nodes.Slot > s.slot && (!n.Nodes.Delta || n.Nodes.Base == s.slot) {
 		s.slot, s.switches = n.Nodes.Slot, n.Nodes.Switches
 		s.nodes = feed.Merge(s.nodes, n.Nodes.All, n.Nodes.Gone, n.Nodes.Delta, func(n feed.Node) string { return n.Name })
 		all := make([]feed.Node, 0, len(s.nodes))
@@ -224,8 +224,9 @@
 	s.toll.SetNodes(most)
 }
 
-// news answers another node that lacks what this one has.
-func (s *state) news(h feed.Have) *feed.News {
+// news answers another node that lacks what this one has. The directory of nodes
+// is told to those of the same zone alone: it holds no other zone's.
+func (s *state) news(h feed.Have, neighbour bool) *feed.News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := &feed.News{Stale: true}
@@ -243,7 +244,7 @@
 			n.Marks = append(n.Marks, m)
 		}
 	}
-	if s.slot > h.Nodes {
+	if neighbour && s.slot > h.Nodes {
 		n.Nodes = &feed.Nodes{Slot: s.slot, Switches: s.switches}
 		for _, node := range s.nodes {
 			n.Nodes.All = append(n.Nodes.All, node)
--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"comethold/internal/cell"
 	"comethold/internal/feed"
@@ -22,20 +26,45 @@
 	table map[string]feed.Node // the directory by name; never changed, only replaced
 	up    int                  // nodes that serve clients and are not down
 
+	nodesAt time.Time  // when nodes last moved
+	pending *nodeTable // the directory that nodes will hold next
+
 	recalls []feed.Recall // in order
 	pos     uint64        // of the newest recall
 	floor   uint64        // recalls up to here are forgotten
+
+	// told holds answers by what their callers have: after a change all of a zone
+	// lack the same, so it is worked out, encoded and compressed once.
+	told map[string]*told
+}
+
+type nodeTable struct {
+	slot uint64
+	all  map[string]feed.Node
+	up   int
 }
 
-const keepConfigs = 4
+// told is an answer ready to be sent; without news it is empty.
+type told struct {
+	body  []byte
+	empty bool
+}
+
+const (
+	keepConfigs = 4
+	// nodesEvery is how often the nodes are told of changes of the directory: at a
+	// start of all, each of them would hear of every other.
+	nodesEvery = 300 * time.Millisecond
+)
 
 func newBoard() *board {
-	return &board{news: make(chan struct{}), keep: func(*feed.List) {}, marks: map[string]feed.Marks{}}
+	return &board{news: make(chan struct{}), keep: func(*feed.List) {}, marks: map[string]feed.Marks{}, told: map[string]*told{}}
 }
 
 func (b *board) changedLocked() {
 	close(b.news)
 	b.news = make(chan struct{})
+	clear(b.told)
 }
 
 func (b *board) setConfig(version uint64, raw []byte) {
@@ -100,19 +129,40 @@
 }
 
 func (b *board) setNodes(slot uint64, all []feed.Node) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	table := make(map[string]feed.Node, len(all))
-	up := 0
+	next := &nodeTable{slot: slot, all: make(map[string]feed.Node, len(all))}
 	for _, n := range all {
-		table[n.Name] = n
+		next.all[n.Name] = n
 		if n.Serves() && !n.Down {
-			up++
+			next.up++
 		}
 	}
-	b.table = table
-	if b.nodes.Set(feed.Stamp{Rev: slot}, table) {
-		b.up = up
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table = next.all
+	waits := b.pending != nil
+	b.pending = next
+	if wait := nodesEvery - time.Since(b.nodesAt); wait > 0 {
+		if !waits {
+			time.AfterFunc(wait, func() {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.tellNodesLocked()
+			})
+		}
+		return
+	}
+	b.tellNodesLocked()
+}
+
+// tellNodesLocked lets the nodes have the newest directory.
+func (b *board) tellNodesLocked() {
+	next := b.pending
+	if next == nil {
+		return
+	}
+	b.pending = nil
+	if b.nodes.Set(feed.Stamp{Rev: next.slot}, next.all) {
+		b.up, b.nodesAt = next.up, time.Now()
 		b.changedLocked()
 	}
 }
@@ -130,11 +180,37 @@
 	return b.table
 }
 
-// newer collects what the caller lacks, and a channel that closes at the next
-// change.
-func (b *board) newer(call *feed.Call) (feed.News, <-chan struct{}) {
+// answer returns, ready to be sent, what the caller lacks, and a channel that
+// closes at the next change.
+func (b *board) answer(call *feed.Call, stale bool) (*told, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	key := callerKey(call, stale)
+	t := b.told[key]
+	if t == nil {
+		news := b.newerLocked(call)
+		t = &told{empty: news.Empty()}
+		news.Stale = stale
+		if raw, err := wire.Marshal(&news); err == nil {
+			t.body = wire.Pack(raw)
+		}
+		b.told[key] = t
+	}
+	return t, b.news
+}
+
+// callerKey is the same for callers that lack the same.
+func callerKey(call *feed.Call, stale bool) string {
+	h := &call.Have
+	k := fmt.Sprint(stale, call.Node.Zone, h.Config, h.List, h.Nodes, h.Switches, h.Recall)
+	for _, ix := range slices.Sorted(maps.Keys(h.Marks)) {
+		k += fmt.Sprint(" ", ix, "=", h.Marks[ix])
+	}
+	return k
+}
+
+// newerLocked collects what the caller lacks.
+func (b *board) newerLocked(call *feed.Call) feed.News {
 	h := call.Have
 	var n feed.News
 	if k := len(b.cfg); k > 0 && b.cfg[k-1].Version > h.Config {
@@ -147,7 +223,7 @@
 		}
 	}
 	if b.list != nil && h.List.Less(b.list.Stamp) {
-		l := &feed.List{Stamp: b.list.Stamp}
+		l := &feed.List{Stamp: b.list.Stamp, Base: h.List}
 		l.Leafs, l.Gone, l.Delta = b.leafs.Since(h.List, func(feed.Leaf) bool { return true })
 		n.List = l
 	}
@@ -162,7 +238,7 @@
 		}
 	}
 	if at := b.nodes.At().Rev; b.nodes.Len() > 0 && at > h.Nodes {
-		ns := &feed.Nodes{Slot: at, Switches: b.up}
+		ns := &feed.Nodes{Slot: at, Switches: b.up, Base: h.Nodes}
 		ns.All, ns.Gone, ns.Delta = b.nodes.Since(feed.Stamp{Rev: h.Nodes}, func(n feed.Node) bool {
 			return !n.Serves() || n.Zone == call.Node.Zone
 		})
@@ -171,5 +247,5 @@
 		}
 	}
 	b.recallNews(h, &n)
-	return n, b.news
+	return n
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -312,15 +312,16 @@
 	hold := time.NewTimer(feedHold)
 	defer hold.Stop()
 	for {
-		news, change := r.board.newer(&call)
-		if news.Stale = r.fresh() > staleFrom; news.Stale || call.Now || !news.Empty() {
-			return answer(c, &news)
+		stale := r.fresh() > staleFrom
+		news, change := r.board.answer(&call, stale)
+		if stale || call.Now || !news.empty {
+			return c.Blob(http.StatusOK, wire.ContentType, news.body)
 		}
 		select {
 		case <-change:
 		case <-hold.C:
-			news.Stale = r.fresh() > staleFrom
-			return answer(c, &news)
+			news, _ = r.board.answer(&call, r.fresh() > staleFrom)
+			return c.Blob(http.StatusOK, wire.ContentType, news.body)
 		case <-c.Request().Context().Done():
 			return nil
 		case <-r.quit:
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -139,12 +139,13 @@
 				all = append(all, feed.Node{Name: fmt.Sprint("n", n), Zone: "z", Down: (slot+n)%4 == 0})
 			}
 		}
+		b.nodesAt = time.Time{}
 		b.setNodes(slot, all)
 		for i := range holders {
 			if slot%uint64(i+1) != 0 {
 				continue
 			}
-			news, _ := b.newer(&feed.Call{Node: feed.Node{Zone: "z"}, Have: feed.Have{Nodes: have[i]}})
+			news := b.newerLocked(&feed.Call{Node: feed.Node{Zone: "z"}, Have: feed.Have{Nodes: have[i]}})
 			if n := news.Nodes; n != nil {
 				holders[i] = feed.Merge(holders[i], n.All, n.Gone, n.Delta, func(n feed.Node) string { return n.Name })
 				have[i] = n.Slot
