Newer lists are fetched from whoever shows them; old lists write no marks

Each message between registrars carries the stamp of the sender's list; a newer one is fetched after 0.3 s, so that a registrar that the poller does not reach has the list all the same. A poller that has just come back writes and drops no marks by the list of its former life. A duty whose holder's machine came back with another disk is taken after one lease time instead of three.

--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -97,6 +97,14 @@
 	return b.list.Stamp
 }
 
+// stamp is that of the list held, or zero.
+func (b *board) stamp() feed.Stamp {
+	if l := b.getList(); l != nil {
+		return l.Stamp
+	}
+	return feed.Stamp{}
+}
+
 func (b *board) getList() *feed.List {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/registrar/desk.go
+++ b/internal/registrar/desk.go
@@ -19,17 +19,18 @@
 
 // Pacing of the desk's work. Ours; see docs/design.md.
 const (
-	pollEvery   = 800 * time.Millisecond
-	deskEvery   = 400 * time.Millisecond
-	digestEvery = time.Second
-	suspectSpan = 4 * time.Second
-	reportSpan  = 2 * time.Second
-	seenSpan    = 3 * time.Second
-	forgetAfter = 2 * time.Minute
-	deskWork    = 1200 * time.Millisecond
-	seatSilence = 5 * time.Second
-	reachLimit  = 700 * time.Millisecond
-	watchersAgr = 2 // watchers, or reporters of a leaf, that must agree
+	pollEvery    = 800 * time.Millisecond
+	deskEvery    = 400 * time.Millisecond
+	digestEvery  = time.Second
+	suspectSpan  = 4 * time.Second
+	reportSpan   = 2 * time.Second
+	seenSpan     = 3 * time.Second
+	forgetAfter  = 2 * time.Minute
+	deskWork     = 1200 * time.Millisecond
+	seatSilence  = 5 * time.Second
+	listPatience = 300 * time.Millisecond
+	reachLimit   = 700 * time.Millisecond
+	watchersAgr  = 2 // watchers, or reporters of a leaf, that must agree
 )
 
 // pollLoop keeps the list of leafs while this node holds the duty.
@@ -129,6 +130,31 @@
 	}
 }
 
+// listSeen is told of the list that another registrar holds. A newer one is
+// fetched from there: the poller may not reach this node.
+func (r *Registrar) listSeen(addr string, at feed.Stamp) {
+	if !r.board.stamp().Less(at) || !r.reading.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer r.reading.Store(false)
+		select {
+		case <-time.After(listPatience): // the poller is handing it round as well
+		case <-r.quit:
+			return
+		}
+		if !r.board.stamp().Less(at) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var l feed.List
+		if err := r.host.call.Call(ctx, innerAddr(addr, r.host.port), "/list/read", feed.Call{}, &l); err == nil && l.Leafs != nil {
+			r.board.setList(&l)
+		}
+	}()
+}
+
 // deskLoop brings the cells up to date with what this node knows.
 func (r *Registrar) deskLoop() {
 	var cutFor uint64
@@ -151,8 +177,8 @@
 		r.hear(&feed.Call{Node: feed.Node{Name: r.set.NodeName + "/registrar", Addr: r.set.IPAddress, Zone: r.set.AvailabilityZone, Control: true}})
 		r.nodesDesk()
 		r.reportsDesk()
-		if _, ok := r.poller.held(); ok {
-			r.marksDesk()
+		if term, ok := r.poller.held(); ok && r.board.stamp().Term == term {
+			r.marksDesk() // by a list of this term: the one of a former life is old
 		}
 		if _, ok := r.mover.held(); ok {
 			r.moveDesk()
--- a/internal/registrar/duty.go
+++ b/internal/registrar/duty.go
@@ -86,9 +86,10 @@
 	switch {
 	case mine && due:
 		d.take(raw, dutyRecord{Holder: rec.Holder, Term: rec.Term, Beat: rec.Beat + 1})
-	case !mine && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= clockSpread*d.hold):
+	case !mine && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= clockSpread*d.hold || silent >= d.hold && d.host.over(rec.Holder)):
 		// What is recorded for this very node but not held is of a former
-		// life, which is over, or has lapsed by its own clock.
+		// life, which is over, or has lapsed by its own clock. So is what is
+		// recorded for a member whose machine came back with another disk.
 		d.take(raw, dutyRecord{Holder: d.host.self.ID, Term: rec.Term + 1})
 	}
 }
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -60,6 +60,7 @@
 type Batch struct {
 	Hello    Hello          `cbor:"1,keyasint"`
 	Messages []cell.Message `cbor:"2,keyasint,omitempty"`
+	List     feed.Stamp     `cbor:"3,keyasint"` // of the leaf list that the sender holds
 }
 
 type proposal struct {
@@ -107,9 +108,13 @@
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
+	former  map[cell.MemberID]bool // members whose disk was lost
 
 	// changed is called on the loop when a cell's state moved.
-	changed  func(name string, what cell.Touched)
+	changed func(name string, what cell.Touched)
+	// listed is the stamp of the leaf list held here; seen is told of others'.
+	listed   func() feed.Stamp
+	seen     func(addr string, at feed.Stamp)
 	helloAt  time.Duration
 	tickedAt time.Duration
 	wokeAt   time.Duration // this node stood still until then and heard nobody
@@ -121,8 +126,9 @@
 	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(), start: time.Now(),
 		work: make(chan func(), 256), quit: make(chan struct{}), cells: map[string]*cell.Member{},
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
-		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, seeds: seeds,
-		openedAt: map[string]time.Duration{}, changed: func(string, cell.Touched) {}}
+		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
+		openedAt: map[string]time.Duration{}, changed: func(string, cell.Touched) {},
+		listed: func() feed.Stamp { return feed.Stamp{} }, seen: func(string, feed.Stamp) {}}
 }
 
 // Identity returns the member name of this life of the disk, made and synced
@@ -276,6 +282,14 @@
 	return h.now() - since
 }
 
+// over reports whether a member's life is known to have ended: its machine was
+// heard under another name since, so its disk was lost.
+func (h *Host) over(id cell.MemberID) bool {
+	h.peersMu.Lock()
+	defer h.peersMu.Unlock()
+	return h.former[id]
+}
+
 // seated reports whether this node votes in the exchange cell: only those who
 // do hear every registrar.
 func (h *Host) seated() (yes bool) {
@@ -437,7 +451,7 @@
 		p.queue = nil
 		h.peersMu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-		_ = h.call.Call(ctx, to, "/cells", &Batch{Hello: h.self, Messages: msgs}, nil)
+		_ = h.call.Call(ctx, to, "/cells", &Batch{Hello: h.self, Messages: msgs, List: h.listed()}, nil)
 		cancel()
 	}
 }
@@ -460,8 +474,13 @@
 			h.peersMu.Unlock()
 		}
 		h.peersMu.Lock()
+		delete(h.former, b.Hello.ID)
+		if p.hello.ID != "" && p.hello.ID != b.Hello.ID {
+			h.former[p.hello.ID] = true
+		}
 		p.hello, p.heard = b.Hello, now
 		h.peersMu.Unlock()
+		h.seen(b.Hello.Addr, b.List)
 		touched := map[string]*cell.Member{}
 		for _, msg := range b.Messages {
 			if m := h.cells[msg.Cell]; m != nil {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comethold/internal/cell"
@@ -43,6 +44,7 @@
 	once sync.Once
 	wg   sync.WaitGroup
 
+	reading  atomic.Bool // a list that another registrar holds is being fetched
 	mu       sync.Mutex
 	seen     map[string]seenNode
 	suspects map[string]map[string]time.Time
@@ -100,6 +102,7 @@
 	}
 	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, log)
 	r.host.changed = r.cellChanged
+	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
 	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
 	r.mover = newDuty(r.host, "mover", 3*time.Second)
 	var founders []cell.Seat
@@ -256,11 +259,13 @@
 		if l.Leafs != nil {
 			return answer(c, r.board.setList(&l))
 		}
-		var have feed.Stamp
-		if cur := r.board.getList(); cur != nil {
-			have = cur.Stamp
+		return answer(c, r.board.stamp())
+	})
+	e.POST("/list/read", func(c echo.Context) error {
+		if l := r.board.getList(); l != nil {
+			return answer(c, l)
 		}
-		return answer(c, have)
+		return c.NoContent(http.StatusNotFound)
 	})
 	e.POST("/feed", r.feed)
 	e.POST("/ration", r.ration)
