The request path is linear in the shards asked

Each part that came in had all shards looked at again, and each shard's leafs were counted before the start. What comes in now concerns one shard alone, all are looked at only when one is due, and the count stops at the first usable leaf.

--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -112,6 +112,9 @@
 	shards []shard
 	ch     chan outcome
 	usual  time.Duration
+	in     int       // shards whose part is in
+	open   int       // shards that may still answer
+	due    time.Time // not after the next moment at which an open shard needs something done
 }
 
 func failure(status int, why string) *Reply { return &Reply{Status: status, Why: why} }
@@ -134,22 +137,18 @@
 	least := 1
 	if gathered {
 		least = l.Least
-		up := 0
-		for _, s := range services {
-			if a.frame.Usable(s) > 0 {
-				up++
-			}
-		}
-		if up < least {
-			return comeBack("too few shards have a leaf")
-		}
 	}
-	if !a.admitted(services, least) {
+	up, shares := a.frame.Survey(services)
+	if gathered && up < least {
+		return comeBack("too few shards have a leaf")
+	}
+	if !admitted(shares, least) {
 		return comeBack("the leafs are full")
 	}
 	k := &asking{Asker: a, line: l, req: r, pace: a.pace(l.Name), shards: make([]shard, len(services)),
 		ch: make(chan outcome, len(services)*(l.Tries+freeTries))}
 	k.usual = k.pace.hedgeAfter(l.Target)
+	k.open = len(services)
 	r.Once = !l.Repeatable()
 	for i, s := range services {
 		k.shards[i].service = s
@@ -165,11 +164,7 @@
 // admitted decides whether a request is begun. Where leafs turn calls away, what
 // is begun beyond their means takes slots and is lost all the same, so a share
 // of the requests is told to come back before anything of them runs.
-func (a *Asker) admitted(services []string, least int) bool {
-	shares := make([]float64, len(services))
-	for i, s := range services {
-		shares[i] = a.frame.Admits(s)
-	}
+func admitted(shares []float64, least int) bool {
 	slices.Sort(shares)
 	share := shares[len(shares)-least]
 	return share >= 1 || rand.Float64() < share
@@ -179,7 +174,7 @@
 func (k *asking) launch(i int, now time.Time) bool {
 	t := k.frame.Seize(k.shards[i].service, k.shards[i].tried, k.req.Once)
 	if t == nil {
-		k.shards[i].settle()
+		k.settle(&k.shards[i])
 		return false
 	}
 	k.send(i, t, now)
@@ -193,6 +188,7 @@
 	s.pending++
 	s.since, s.newest = now, t
 	s.hedgeAt = now.Add(k.usual)
+	k.dueBy(s.hedgeAt)
 	go func() {
 		began := time.Now()
 		a, err := k.frame.Call(t, k.req)
@@ -200,9 +196,29 @@
 	}()
 }
 
-func (s *shard) settle() {
-	if s.pending == 0 && s.part == nil {
+// Changes of a shard's state: it is open, then its part is in, or it has failed.
+
+func (k *asking) settle(s *shard) {
+	if s.pending == 0 && s.part == nil && !s.failed {
 		s.failed = true
+		k.open--
+	}
+}
+
+func (k *asking) fill(s *shard, a *trunk.Answer) {
+	if s.part != nil {
+		return
+	}
+	s.part = a
+	k.in++
+	if !s.failed {
+		k.open--
+	}
+}
+
+func (k *asking) dueBy(at time.Time) {
+	if k.due.IsZero() || at.Before(k.due) {
+		k.due = at
 	}
 }
 
@@ -230,48 +246,26 @@
 	return true
 }
 
-// wait follows the tries until the answer is settled.
+// wait follows the tries until the answer is settled. What comes in concerns one
+// shard; all of them are looked at only when one is due.
 func (k *asking) wait(start time.Time, least int, gathered bool) {
-	target := start.Add(k.line.Target - cutMargin)
-	cut := target
+	cut := start.Add(k.line.Target - cutMargin)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	var armed time.Time
 	for {
-		in, open := 0, 0
 		now := time.Now()
-		next := k.req.Deadline
-		for i := range k.shards {
-			s := &k.shards[i]
-			switch {
-			case s.part != nil:
-				in++
-			case !s.failed:
-				if !s.againAt.IsZero() && !s.againAt.After(now) {
-					s.againAt = time.Time{}
-					if !k.again(i, 0, now) {
-						s.settle()
-						continue
-					}
-				}
-				open++
-				if s.pending == 0 {
-					if s.againAt.Before(next) {
-						next = s.againAt
-					}
-					continue
-				}
-				if !s.hedgeAt.After(now) {
-					k.overdue(i, now)
-				}
-				if s.hedgeAt.Before(next) {
-					next = s.hedgeAt
-				}
-			}
+		if !k.due.After(now) {
+			k.look(now)
 		}
-		if open == 0 || in+open < least || !k.req.Deadline.After(now) {
+		if k.open == 0 || k.in+k.open < least || !k.req.Deadline.After(now) {
 			return
 		}
-		if gathered && in >= least && k.line.Target > 0 {
+		next := k.req.Deadline
+		if !k.due.IsZero() && k.due.Before(next) {
+			next = k.due
+		}
+		if gathered && k.in >= least && k.line.Target > 0 {
 			if !cut.After(now) {
 				if now.Sub(cut) < cutMargin || !start.Add(3*k.line.Target).After(now) {
 					return // what is in earns more now than all of it later
@@ -282,12 +276,50 @@
 				next = cut
 			}
 		}
-		timer.Reset(max(next.Sub(now), 0))
+		if next != armed {
+			timer.Reset(max(next.Sub(now), 0))
+			armed = next
+		}
 		select {
 		case o := <-k.ch:
 			k.take(o)
+			for more := true; more; {
+				select {
+				case o := <-k.ch:
+					k.take(o)
+				default:
+					more = false
+				}
+			}
 		case <-timer.C:
+			armed = time.Time{}
+		}
+	}
+}
+
+// look does what is due, and finds out what is due next.
+func (k *asking) look(now time.Time) {
+	k.due = time.Time{}
+	for i := range k.shards {
+		s := &k.shards[i]
+		if s.part != nil || s.failed {
+			continue
+		}
+		if !s.againAt.IsZero() && !s.againAt.After(now) {
+			s.againAt = time.Time{}
+			if !k.again(i, 0, now) {
+				k.settle(s)
+				continue
+			}
 		}
+		if s.pending == 0 {
+			k.dueBy(s.againAt)
+			continue
+		}
+		if !s.hedgeAt.After(now) {
+			k.overdue(i, now)
+		}
+		k.dueBy(s.hedgeAt)
 	}
 }
 
@@ -309,9 +341,7 @@
 	now := time.Now()
 	switch {
 	case o.err == nil && o.a.Good():
-		if s.part == nil {
-			s.part = o.a
-		}
+		k.fill(s, o.a)
 		k.pace.add(o.took)
 		return
 	case errors.Is(o.err, trunk.ErrNotSent):
@@ -330,6 +360,7 @@
 				// A full leaf has its next slot free in a moment, and so
 				// have its fellows.
 				s.againAt = now.Add(fullPause(k.frame.Mean(s.service)))
+				k.dueBy(s.againAt)
 				return
 			}
 		}
@@ -341,7 +372,7 @@
 			return
 		}
 	}
-	s.settle()
+	k.settle(s)
 }
 
 // single makes the reply of a line with one leaf.
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -240,21 +240,28 @@
 	}
 }
 
-// Usable counts the leafs of a service that would take a call now.
-func (f *Frame) Usable(service string) int {
+// Survey reports, for one request, how many of the services have a leaf that would
+// take a call now, and for each the share of requests that its leafs can take.
+func (f *Frame) Survey(services []string) (up int, admits []float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	g := f.groups[service]
-	if g == nil {
-		return 0
-	}
-	n, now := 0, time.Now()
-	for _, t := range g.trunks {
-		if f.takes(t, false, now) {
-			n++
+	admits = make([]float64, len(services))
+	now := time.Now()
+	for i, name := range services {
+		admits[i] = 1
+		g := f.groups[name]
+		if g == nil {
+			continue
+		}
+		admits[i] = min(1, g.admit)
+		for _, t := range g.trunks {
+			if f.takes(t, false, now) {
+				up++
+				break
+			}
 		}
 	}
-	return n
+	return up, admits
 }
 
 // takes reports whether a leaf takes a call. once says that the call may not be
@@ -377,16 +384,6 @@
 	return g != nil && g.full > fullBar
 }
 
-// Admits is the share of requests that the leafs of a service can take.
-func (f *Frame) Admits(service string) float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if g := f.groups[service]; g != nil {
-		return min(1, g.admit)
-	}
-	return 1
-}
-
 // Mean is how long calls of a service take.
 func (f *Frame) Mean(service string) time.Duration {
 	f.mu.Lock()
