--- a/internal/registrar/desk.go
+++ b/internal/registrar/desk.go
@@ -19,7 +19,8 @@
 
 // Pacing of the desk's work. Ours; see docs/design.md.
 const (
-	pollEvery    = 800 * time.Millisecond
+	pollLeast    = 800 * time.Millisecond
+	pollShare    = 0.3 // of the time in which a leaving must be heeded
 	deskEvery    = 400 * time.Millisecond
 	digestEvery  = time.Second
 	suspectSpan  = 4 * time.Second
@@ -40,18 +41,19 @@
 	}
 	var lastDigest time.Time
 	failures := 0
-	pause := pollEvery
+	every := max(pollLeast, time.Duration(pollShare*float64(r.set.Bounds.Drain())))
+	pause := every
 	for {
 		select {
 		case <-time.After(pause):
 		case <-r.quit:
 			return
 		}
-		pause = pollEvery
+		pause = every
 		term, ok := r.poller.held()
 		if !ok {
 			failures = 0
-			pause = pollEvery / 4
+			pause = pollLeast / 4
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -21,6 +21,8 @@
 	maxOrderBytes = 16 << 20
 	orderPatience = 1500 * time.Millisecond
 	baseHeader    = "X-Comethold-Base-Version"
+	greetTime     = time.Second     // in which registrars that start together have met
+	growTime      = 5 * time.Second // in which a new cell should have its seats
 )
 
 type refusal struct {
@@ -106,6 +108,9 @@
 // this call or an earlier one, is acknowledged.
 func (r *Registrar) take(ctx context.Context, o *order) (int, string) {
 	sum := digest(o.raw)
+	if r.growing() {
+		return http.StatusServiceUnavailable, "the control plane is still being founded"
+	}
 	for try := range 3 {
 		var t cell.Txn
 		var current uint64
@@ -156,6 +161,28 @@
 	return http.StatusServiceUnavailable, "the cell is busy"
 }
 
+// growing reports whether the system was founded a moment ago and the exchange cell
+// has yet to seat the registrars that make it bear the losses that it must bear:
+// what it acknowledges before could be gone with fewer disks.
+func (r *Registrar) growing() (yes bool) {
+	if !r.young {
+		return false
+	}
+	live := len(r.host.live(learnerSpan))
+	want := seatsFor(r.set.Tolerance.MachineLosses)
+	r.host.ask(func() {
+		m := r.host.cells[ExchangeCell]
+		if m == nil {
+			return
+		}
+		age := r.host.now() - r.host.openedAt[ExchangeCell]
+		seats, settled := m.Seats()
+		short := len(seats) < want || !settled && len(seats) == want
+		yes = short && (age < greetTime || live > len(seats) && age < growTime)
+	})
+	return yes
+}
+
 func translate(err error) string {
 	switch {
 	case errors.Is(err, ErrBusy):
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -40,9 +40,10 @@
 	claims  chan *pendingClaim
 	shares  shareKeeper
 
-	quit chan struct{}
-	once sync.Once
-	wg   sync.WaitGroup
+	young bool // this is the first start of the whole system
+	quit  chan struct{}
+	once  sync.Once
+	wg    sync.WaitGroup
 
 	reading  atomic.Bool // a list that another registrar holds is being fetched
 	mu       sync.Mutex
@@ -100,6 +101,7 @@
 			v.NoteNode("list", raw)
 		}
 	}
+	r.young = empty && set.FirstStart
 	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -145,6 +145,9 @@
 	return time.Duration(b.RetryWindowS * float64(time.Second))
 }
 
+// Drain is how soon a leaf that leaves must get no more requests.
+func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainMs) * time.Millisecond }
+
 // Grace is the time between SIGTERM and SIGKILL.
 func (b Bounds) Grace() time.Duration {
 	return time.Duration(b.GracePeriodS * float64(time.Second))
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -36,6 +36,8 @@
 	admitUp     = 0.005
 	admitMost   = 1.1 // above 1: single full leafs are no overload
 	admitLeast  = 0.3
+	openCost    = 0.4  // of the usual time that opening a line counts as, where lines rest long
+	rareNodes   = 20   // nodes to a leaf from which lines rest long
 	fullWork    = 4.0  // usual times that the queue of a leaf takes which turned a call away
 	fullBar     = 0.02 // the share of calls turned away above which a service is crowded
 )
@@ -317,6 +319,9 @@
 	if t.leaf.Cold {
 		s += work * 0.5
 	}
+	if len(t.idle) == 0 {
+		s += work * openCost * f.rarely(t.group)
+	}
 	// A leaf that turned a call away has a whole queue to work off first.
 	if left := fullWork*work - now.Sub(t.fullAt).Seconds(); left > 0 {
 		s += left
@@ -327,6 +332,13 @@
 	return s
 }
 
+// rarely is how rarely, from 0 to 1, this node comes back to a line of the group:
+// the more nodes share each leaf, the longer its lines rest, the more of them are
+// opened for a single call, and the less any one node can even out their load.
+func (f *Frame) rarely(g *Group) float64 {
+	return min(1, float64(f.nodes)/float64(rareNodes*max(1, len(g.trunks))))
+}
+
 // choose picks the leaf for a try, leaving out those already tried: one of the
 // node's own part of the group or, if none of those takes it, any.
 func (f *Frame) choose(g *Group, tried []*Trunk, once bool, now time.Time) *Trunk {
