The mover's duty is taken in time after all disks but its own come back

Cause: the machine that held the duty of moving seats lost its disk in a loss of power of all. Nobody had heard its former name since, so nobody knew its lease was over and all waited nine seconds. Two more disks lost after 7.5 s, longer than catchUpS, then left one of five seats with data: what was confirmed was gone. Ruled out: the vault, acknowledgements, adoption of entries.

Several nodes in one runner: whole registrars and switches on simulated time, a network of the test's own, a stand-in for the platform.

--- a/cmd/comethold/run.go
+++ b/cmd/comethold/run.go
@@ -15,10 +15,10 @@
 
 	"comethold/internal/announce"
 	"comethold/internal/event"
-	"comethold/internal/office"
 	"comethold/internal/registrar"
 	"comethold/internal/settings"
 	"comethold/internal/switchboard"
+	"comethold/internal/wire"
 
 	"github.com/oklog/run"
 )
@@ -128,7 +128,7 @@
 	if set.Listen.ControlPlane == "" || set.DataDirectory == "" {
 		return errors.New("settings: a registrar needs listenAddresses.controlPlane and dataDirectory")
 	}
-	r, err := registrar.New(set, log)
+	r, err := registrar.New(set, log, wire.Sockets)
 	if err != nil {
 		return err
 	}
@@ -145,7 +145,7 @@
 }
 
 func runAnnouncer(set *settings.Settings, path string, log *event.Log) error {
-	a, err := announce.New(set, log, office.Dial())
+	a, err := announce.New(set, log, wire.Sockets)
 	if err != nil {
 		return err
 	}
@@ -170,7 +170,7 @@
 	if set.Listen.Frontend == "" || set.Listen.Readiness == "" {
 		return errors.New("settings: a switch needs listenAddresses.frontend and listenAddresses.readiness")
 	}
-	s := switchboard.New(set, log, office.Dial())
+	s := switchboard.New(set, log, wire.Sockets)
 	var g run.Group
 	front, err := net.Listen("tcp4", set.Listen.Frontend)
 	if err != nil {
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -57,13 +57,13 @@
 }
 
 // New makes an announcer; dir holds its copies on disk, if not empty.
-func New(set *settings.Settings, log *event.Log, dial trunk.DialFunc) (*Announcer, error) {
-	o := office.New(set, log, settings.Announcer, dial)
+func New(set *settings.Settings, log *event.Log, n wire.Net) (*Announcer, error) {
+	o := office.New(set, log, settings.Announcer, n)
 	room := fallbackRoom
 	if set.Limits.MemoryMb > 0 {
 		room = int(memoryShare * float64(set.Limits.MemoryMb<<20))
 	}
-	a := &Announcer{Office: o, caller: newCaller(o), ration: ration.New(), usual: newUsual(), client: wire.NewClient()}
+	a := &Announcer{Office: o, caller: newCaller(o), ration: ration.New(), usual: newUsual(), client: wire.NewClient(n)}
 	a.turns = newTurns(a.ration, o.Frame.Seize, o.Frame.Release)
 	rec := recorder.New(room)
 	a.desk = NewDesk(rec, o, set.Bounds.StaleSlack(), refreshFrom, a.fill)
--- a/internal/announce/wire.go
+++ b/internal/announce/wire.go
@@ -71,7 +71,7 @@
 }
 
 func newCaller(o *office.Office) *caller {
-	return &caller{office: o, client: wire.NewClientWith(dialLimit, silentLimit, idleLines), shun: map[string]time.Time{}}
+	return &caller{office: o, client: wire.NewClientWith(o.Net, dialLimit, silentLimit, idleLines), shun: map[string]time.Time{}}
 }
 
 // ranked lists the announcers for a key by rendezvous hashing, those of the
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,10 +55,9 @@
 }
 
 // NewPlatform makes a caller of the list at addr.
-func NewPlatform(addr string) *Platform {
-	d := wire.Dialer(600*time.Millisecond, 1500*time.Millisecond)
+func NewPlatform(n wire.Net, addr string) *Platform {
 	return &Platform{addr: addr, http: &http.Client{Timeout: callTimeout,
-		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}}}
+		Transport: &http.Transport{DialContext: n(600*time.Millisecond, 1500*time.Millisecond), DisableCompression: true, MaxIdleConnsPerHost: 1}}}
 }
 
 // List reads the whole list, page by page. It is all or an error.
--- a/internal/office/feeder.go
+++ b/internal/office/feeder.go
@@ -49,8 +49,8 @@
 	leftAt   time.Time
 }
 
-func newFeeder(set *settings.Settings, s *state, log *event.Log, program settings.Program) *feeder {
-	return &feeder{set: set, state: s, log: log, call: wire.NewClient(), seeds: set.SeedHosts(),
+func newFeeder(set *settings.Settings, s *state, log *event.Log, program settings.Program, call *wire.Client) *feeder {
+	return &feeder{set: set, state: s, log: log, call: call, seeds: set.SeedHosts(),
 		self:  feed.Node{Name: set.NodeName, Addr: set.IPAddress, Zone: set.AvailabilityZone, Cache: program == settings.Announcer},
 		avoid: map[string]time.Time{}, suspects: func() []string { return nil }}
 }
--- a/internal/office/feeder_test.go
+++ b/internal/office/feeder_test.go
@@ -10,7 +10,6 @@
 	"comethold/internal/event"
 	"comethold/internal/feed"
 	"comethold/internal/settings"
-	"comethold/internal/trunk"
 	"comethold/internal/wire"
 )
 
@@ -46,7 +45,7 @@
 	}
 	set := &settings.Settings{NodeName: "n1", IPAddress: "127.0.0.9", AvailabilityZone: "a", RegionName: "r",
 		InternalPortRange: []int{port, port + 3}, SeedNodes: []string{hosts[0] + ":1", hosts[1] + ":1"}}
-	o := New(set, event.Nop(), settings.Switch, trunk.DialFunc((&net.Dialer{}).DialContext))
+	o := New(set, event.Nop(), settings.Switch, wire.Sockets)
 	defer o.Close()
 	go func() { _ = o.Feed() }()
 	next := func() string {
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -1,8 +1,10 @@
 package office
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,6 +25,7 @@
 // Office is one node's membership in the system.
 type Office struct {
 	Set   *settings.Settings
+	Net   wire.Net
 	Log   *event.Log
 	Frame *trunk.Frame
 	Toll  *toll.Toll
@@ -39,17 +42,15 @@
 	nodes  []feed.Node
 }
 
-// Dial opens connections to leafs.
-func Dial() trunk.DialFunc { return wire.Dialer(time.Second, 5*time.Second).DialContext }
-
 // New makes the membership of a node that runs the program.
-func New(set *settings.Settings, log *event.Log, program settings.Program, dial trunk.DialFunc) *Office {
+func New(set *settings.Settings, log *event.Log, program settings.Program, n wire.Net) *Office {
+	dial := trunk.DialFunc(n(time.Second, 5*time.Second))
 	frame := trunk.NewFrame(trunk.Place{Node: set.NodeName, Zone: set.AvailabilityZone, Region: set.Region}, dial, log)
 	b := set.Bounds
 	budget := toll.New(toll.Terms{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: b.Window()}, time.Now())
-	o := &Office{Set: set, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}),
+	o := &Office{Set: set, Net: n, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}),
 		state: newState(log, frame, budget), watch: ring.NewWatch(set.NodeName, set.Heartbeat())}
-	o.feeder = newFeeder(set, o.state, log, program)
+	o.feeder = newFeeder(set, o.state, log, program, wire.NewClient(n))
 	o.feeder.suspects = o.suspects
 	frame.Report = o.feeder.report
 	o.state.onNodes = o.setNodes
@@ -98,6 +99,13 @@
 // Current reports whether anybody in touch with the majority has told news.
 func (o *Office) Current() bool { return o.state.current.Load() }
 
+// Leafs returns the list of leafs that this node holds.
+func (o *Office) Leafs() []feed.Leaf {
+	o.state.mu.Lock()
+	defer o.state.mu.Unlock()
+	return slices.Collect(maps.Values(o.state.leafs))
+}
+
 // OutOfTouch reports whether nobody in touch with the majority has told news
 // for so long.
 func (o *Office) OutOfTouch(span time.Duration) bool {
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -122,8 +122,8 @@
 }
 
 // NewHost opens the node's cells from its vault.
-func NewHost(self Hello, port int, seeds []string, v *vault.Vault, log *event.Log) *Host {
-	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(), start: time.Now(),
+func NewHost(self Hello, port int, seeds []string, v *vault.Vault, call *wire.Client, log *event.Log) *Host {
+	return &Host{self: self, port: port, vault: v, log: log, call: call, start: time.Now(),
 		work: make(chan func(), 256), quit: make(chan struct{}), cells: map[string]*cell.Member{},
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
@@ -282,12 +282,25 @@
 	return h.now() - since
 }
 
-// over reports whether a member's life is known to have ended: its machine was
-// heard under another name since, so its disk was lost.
-func (h *Host) over(id cell.MemberID) bool {
+// over reports whether a member's life has ended: its machine is live under another
+// name, so its disk was lost. This node may have started since and never have heard
+// the former name; then its seat tells where it lived.
+func (h *Host) over(id cell.MemberID) (yes bool) {
+	live := h.live(learnerSpan)
 	h.peersMu.Lock()
-	defer h.peersMu.Unlock()
-	return h.former[id]
+	yes = h.former[id]
+	h.peersMu.Unlock()
+	h.ask(func() {
+		if ex := h.cells[ExchangeCell]; ex != nil {
+			seats, _ := ex.Seats()
+			for _, s := range seats {
+				if now, ok := live[s.Addr]; ok && s.ID == id && now.ID != id {
+					yes = true
+				}
+			}
+		}
+	})
+	return yes
 }
 
 // seated reports whether this node votes in the exchange cell: only those who
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -61,7 +61,7 @@
 }
 
 // New opens the vault and the cells of this node.
-func New(set *settings.Settings, log *event.Log) (*Registrar, error) {
+func New(set *settings.Settings, log *event.Log, n wire.Net) (*Registrar, error) {
 	v, empty, err := vault.Open(set.DataDirectory, func(err error) {
 		if errors.Is(err, vault.ErrDamaged) {
 			log.Error(event.DiskDamaged).Err(err).Msg("the file of the cells is damaged and was put aside")
@@ -86,7 +86,7 @@
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
 		claims: make(chan *pendingClaim, 256), shares: shareKeeper{seen: map[string]seenShare{}}}
 	if set.Platform.Address != "" {
-		r.plat = directory.NewPlatform(set.Platform.Address)
+		r.plat = directory.NewPlatform(n, set.Platform.Address)
 	}
 	// The list of the former life serves until the platform has been asked:
 	// leafs are called by name, so one that is gone does no harm.
@@ -102,11 +102,11 @@
 		}
 	}
 	r.young = empty && set.FirstStart
-	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, log)
+	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, wire.NewClient(n), log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
 	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
-	r.mover = newDuty(r.host, "mover", 3*time.Second)
+	r.mover = newDuty(r.host, "mover", 1500*time.Millisecond)
 	var founders []cell.Seat
 	if set.FirstStart {
 		for _, a := range set.SeedHosts() {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -178,7 +178,7 @@
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
 	}()
 	port := l.Addr().(*net.TCPAddr).Port
-	r := &Registrar{set: &settings.Settings{InternalPortRange: []int{port - int(settings.Switch), port + 9}}, host: &Host{call: wire.NewClient()},
+	r := &Registrar{set: &settings.Settings{InternalPortRange: []int{port - int(settings.Switch), port + 9}}, host: &Host{call: wire.NewClient(wire.Sockets)},
 		suspects: map[string]map[string]time.Time{"a": {"w": time.Now()}, "b": {"w": time.Now()}}}
 	out := r.unreached([]feed.Node{{Name: "a", Addr: "127.0.0.1"}, {Name: "b", Addr: "127.0.0.2"}})
 	if len(out) != 1 || out[0].Name != "b" {
--- /dev/null
+++ b/internal/scenario/fleet_test.go
@@ -0,0 +1,413 @@
+package scenario_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"comethold/internal/event"
+	"comethold/internal/registrar"
+	"comethold/internal/scenario"
+	"comethold/internal/settings"
+	"comethold/internal/switchboard"
+)
+
+// fleet is a whole system of registrars and switches on simulated time: every
+// program as it is, on a network and a platform of the test's own.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	mesh     *mesh
+	machines map[string]*machine
+	losses   int
+	seeds    []string
+	started  bool
+
+	mu      sync.Mutex
+	listed  map[string]string // leaf -> state
+	statusL map[string]int    // of the newest orders
+	acked   map[uint64]string // version -> body that was acknowledged
+	heirs   map[uint64]uint64 // base -> version acknowledged on top of it
+	newest  uint64
+}
+
+type machine struct {
+	name, zone, addr string
+	disk             bool
+	born             bool // it has run before
+	reg              *registrar.Registrar
+	sw               *switchboard.Switch
+	stop             func()
+}
+
+const controlPort = "8729"
+
+func newFleet(t *testing.T) *fleet {
+	rng := rand.New(rand.NewSource(1))
+	f := &fleet{t: t, dir: t.TempDir(), mesh: newMesh(rng.Float64), machines: map[string]*machine{}, losses: 1,
+		listed: map[string]string{}, statusL: map[string]int{}, acked: map[uint64]string{}, heirs: map[uint64]uint64{}}
+	go func() {
+		_ = (&http.Server{Handler: http.HandlerFunc(f.platform)}).Serve(f.mesh.listen("10.200.0.1:80"))
+	}()
+	return f
+}
+
+// platform is the stand-in for the list of leafs.
+func (f *fleet) platform(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := []map[string]any{}
+	for _, id := range slices.Sorted(maps.Keys(f.listed)) {
+		all = append(all, map[string]any{"instanceId": id, "service": "s", "address": "10.9.0.1:80", "availabilityZone": "a", "capacitySlots": 2, "state": f.listed[id]})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": all, "nextPageToken": nil})
+}
+
+func (f *fleet) settings(m *machine) *settings.Settings {
+	set := &settings.Settings{NodeName: m.name, IPAddress: m.addr, AvailabilityZone: m.zone, RegionName: "r", HeartbeatMs: 1200,
+		InternalPortRange: []int{7120, 7135}, SeedNodes: f.seeds, FirstStart: !m.born,
+		Zones: map[string]string{}, Platform: settings.Platform{Address: "10.200.0.1:80", RatePerS: 50},
+		Tolerance: settings.Tolerance{MachineLosses: f.losses},
+		Bounds:    settings.Bounds{DrainMs: 3000, GracePeriodS: 6, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20}}
+	if f.started {
+		set.FirstStart = false
+	}
+	if m.disk {
+		set.DataDirectory = filepath.Join(f.dir, m.name)
+	}
+	return set
+}
+
+// start runs the programs of a machine.
+func (f *fleet) start(m *machine) {
+	set := f.settings(m)
+	n := f.mesh.of(m.addr)
+	var servers []*http.Server
+	serve := func(addr string, h http.Handler) {
+		s := &http.Server{Handler: h}
+		servers = append(servers, s)
+		l := f.mesh.listen(addr)
+		go func() { _ = s.Serve(l) }()
+	}
+	inner := func(p settings.Program) string { return net.JoinHostPort(m.addr, strconv.Itoa(set.PortOf(p))) }
+	if m.disk {
+		if err := os.MkdirAll(set.DataDirectory, 0o755); err != nil {
+			f.t.Fatal(err)
+		}
+		reg, err := registrar.New(set, event.Nop(), n)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		m.reg = reg
+		go func() { _ = reg.Run() }()
+		serve(net.JoinHostPort(m.addr, controlPort), reg.Operator())
+		serve(inner(settings.Registrar), reg.Inner())
+	}
+	sw := switchboard.New(set, event.Nop(), n)
+	m.sw, m.born = sw, true
+	go func() { _ = sw.Feed() }()
+	go func() { _ = sw.Beat(f.mesh.cast(inner(settings.Switch))) }()
+	serve(inner(settings.Switch), sw.Inner())
+	m.stop = func() {
+		f.mesh.down(m.addr, "")
+		sw.Close()
+		if m.reg != nil {
+			m.reg.Stop()
+		}
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		m.reg, m.sw, m.stop = nil, nil, nil
+	}
+}
+
+func (f *fleet) sorted() []*machine {
+	var out []*machine
+	for _, name := range slices.Sorted(maps.Keys(f.machines)) {
+		out = append(out, f.machines[name])
+	}
+	return out
+}
+
+// pick names machines: one, several by commas, or all.
+func (f *fleet) pick(names string) []*machine {
+	if names == "all" {
+		return f.sorted()
+	}
+	var out []*machine
+	for _, n := range strings.Split(names, ",") {
+		m := f.machines[n]
+		if m == nil {
+			f.t.Fatalf("no machine %q", n)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func body(version uint64, mark string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2}],"services":[{"name":"s","connectionLimit":40}],"limits":{}}`, version, mark)
+}
+
+// order sends a configuration to a machine, again and again on 503 if patient.
+func (f *fleet) order(m *machine, version, base uint64, mark string, patience time.Duration) int {
+	raw := body(version, mark)
+	status := 0
+	for end := time.Now().Add(patience); ; time.Sleep(150 * time.Millisecond) {
+		status = f.post(m, "/Configuration.Replace", base, raw)
+		if status != 0 && status != http.StatusServiceUnavailable || time.Now().After(end) {
+			break
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statusL[strconv.Itoa(status)]++
+	if status == http.StatusOK {
+		if old, ok := f.heirs[base]; ok && old != version {
+			f.t.Errorf("%d and %d were both acknowledged on top of %d", old, version, base)
+		}
+		f.heirs[base], f.acked[version] = version, raw
+		f.newest = max(f.newest, version)
+	}
+	return status
+}
+
+// call makes one request as the operator, from an address of its own.
+func (f *fleet) call(m *machine, method, path string, base uint64, raw string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	t := &http.Transport{DialContext: f.mesh.of("10.250.0.1")(time.Second, time.Second), DisableKeepAlives: true}
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+net.JoinHostPort(m.addr, controlPort)+path, strings.NewReader(raw))
+	r.Header.Set("X-Comethold-Base-Version", strconv.FormatUint(base, 10))
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(b)
+}
+
+func (f *fleet) post(m *machine, path string, base uint64, raw string) int {
+	status, _ := f.call(m, http.MethodPost, path, base, raw)
+	return status
+}
+
+// until waits for something to come true.
+func (f *fleet) until(limit time.Duration, what string, ok func() bool) error {
+	for end := time.Now().Add(limit); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %s", limit, what)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) versionAt(m *machine) uint64 {
+	if m.sw == nil || m.sw.Plan() == nil {
+		return 0
+	}
+	return m.sw.Plan().Version
+}
+
+func (f *fleet) Do(c scenario.Command) error {
+	uintOf := func(i int) uint64 { n, _ := strconv.ParseUint(c.Word(i), 10, 64); return n }
+	switch c.Verb {
+	case "losses":
+		f.losses = int(uintOf(0))
+	case "core", "switches": // core ZONE...: a machine with a disk in each; switches ZONE N
+		if c.Verb == "core" {
+			for i, z := range c.Words {
+				m := &machine{name: "c" + strconv.Itoa(i+1), zone: z, addr: fmt.Sprintf("10.1.0.%d", i+1), disk: true}
+				f.machines[m.name] = m
+				if i < 3 {
+					f.seeds = append(f.seeds, net.JoinHostPort(m.addr, controlPort))
+				}
+			}
+			break
+		}
+		for range int(uintOf(1)) {
+			n := len(f.machines) + 1
+			m := &machine{name: fmt.Sprintf("s%d", n), zone: c.Word(0), addr: fmt.Sprintf("10.2.0.%d", n)}
+			f.machines[m.name] = m
+			if f.started {
+				f.start(m)
+			}
+		}
+	case "begin":
+		for _, m := range f.sorted() {
+			f.start(m)
+		}
+		f.started = true
+	case "run":
+		time.Sleep(c.Millis(0))
+	case "kill": // kill NAMES|all
+		var wg sync.WaitGroup
+		for _, m := range f.pick(c.Word(0)) {
+			if m.stop != nil {
+				f.mesh.down(m.addr, "")
+				wg.Go(m.stop)
+			}
+		}
+		wg.Wait()
+	case "start":
+		for _, m := range f.pick(c.Word(0)) {
+			if m.stop == nil {
+				f.start(m)
+			}
+		}
+	case "wipe": // of machines that are down
+		for _, m := range f.pick(c.Word(0)) {
+			if err := os.RemoveAll(filepath.Join(f.dir, m.name)); err != nil {
+				return err
+			}
+		}
+	case "roll": // roll NAMES gap=: each is ended and started again in turn
+		for _, m := range f.pick(c.Word(0)) {
+			m.stop()
+			time.Sleep(time.Duration(c.Number("gap", 300)) * time.Millisecond)
+			f.start(m)
+		}
+	case "cut": // cut NAMES: they and the other machines are cut from each other
+		apart := f.pick(c.Word(0))
+		f.mesh.mu.Lock()
+		for _, a := range apart {
+			for _, b := range f.machines {
+				if !slices.Contains(apart, b) && b.disk {
+					f.mesh.cut[[2]string{a.addr, b.addr}] = true
+					f.mesh.cut[[2]string{b.addr, a.addr}] = true
+				}
+			}
+		}
+		f.mesh.mu.Unlock()
+	case "join":
+		f.mesh.mu.Lock()
+		f.mesh.cut = map[[2]string]bool{}
+		f.mesh.mu.Unlock()
+	case "lossy":
+		f.mesh.mu.Lock()
+		f.mesh.lossy, _ = strconv.ParseFloat(c.Word(0), 64)
+		f.mesh.mu.Unlock()
+	case "list", "drain", "unlist": // ID...
+		f.mu.Lock()
+		for _, id := range c.Words {
+			switch c.Verb {
+			case "list":
+				f.listed[id] = "ready"
+			case "drain":
+				f.listed[id] = "draining"
+			default:
+				delete(f.listed, id)
+			}
+		}
+		f.mu.Unlock()
+	case "replace": // replace VERSION BASE AT [mark= within=]
+		f.order(f.pick(c.Word(2))[0], uintOf(0), uintOf(1), c.Opts["mark"], time.Duration(c.Number("within", 0))*time.Millisecond)
+	case "race": // race BASE V1@AT V2@AT ... [within=]: all at once
+		var wg sync.WaitGroup
+		for _, w := range c.Words[1:] {
+			v, at, _ := strings.Cut(w, "@")
+			n, _ := strconv.ParseUint(v, 10, 64)
+			wg.Go(func() {
+				f.order(f.pick(at)[0], n, uintOf(0), "", time.Duration(c.Number("within", 0))*time.Millisecond)
+			})
+		}
+		wg.Wait()
+	case "want": // want STATUS=N ...: what the orders since the last such line got
+		for k, v := range c.Opts {
+			n, _ := strconv.Atoi(v)
+			if f.statusL[k] != n {
+				return fmt.Errorf("got %v", f.statusL)
+			}
+		}
+		f.statusL = map[string]int{}
+	case "want-config": // want-config VERSION WITHIN: in force on every switch that runs
+		return f.until(c.Millis(1), "the version on every switch", func() bool {
+			for _, m := range f.machines {
+				if m.sw != nil && f.versionAt(m) != uintOf(0) {
+					return false
+				}
+			}
+			return true
+		})
+	case "want-list": // want-list WITHIN: every switch has the platform's list
+		var last string
+		err := f.until(c.Millis(0), "the list on every switch", func() bool {
+			f.mu.Lock()
+			want := maps.Clone(f.listed)
+			f.mu.Unlock()
+			for _, m := range f.sorted() {
+				if m.sw == nil {
+					continue
+				}
+				have := map[string]string{}
+				for _, l := range m.sw.Leafs() {
+					have[l.ID] = map[bool]string{true: "draining", false: "ready"}[l.Draining]
+				}
+				if !maps.Equal(have, want) {
+					last = fmt.Sprint(m.name, " has ", have, ", listed are ", want)
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return errors.Join(err, errors.New(last))
+		}
+	case "want-read": // want-read WITHIN: what was acknowledged last is read back
+		var got string
+		return f.until(c.Millis(0), "the newest acknowledged configuration is read back", func() bool {
+			for _, m := range f.machines {
+				if m.reg == nil {
+					continue
+				}
+				status, raw := f.call(m, http.MethodGet, "/Configuration.Read", 0, "")
+				if status == http.StatusOK {
+					got = raw
+					break
+				}
+			}
+			return got == f.acked[f.newest]
+		})
+	default:
+		return errors.New("unknown command")
+	}
+	return nil
+}
+
+func TestFleet(t *testing.T) {
+	scenario.Play(t, "testdata/fleet", func(t *testing.T, run func(*testing.T)) { synctest.Test(t, run) }, func(t *testing.T) scenario.World {
+		f := newFleet(t)
+		t.Cleanup(func() {
+			var wg sync.WaitGroup
+			for _, m := range f.machines {
+				if m.stop != nil {
+					wg.Go(m.stop)
+				}
+			}
+			wg.Wait()
+			f.mesh.down("", "")
+			f.mesh.down("10.200.0.1", "")
+			time.Sleep(time.Minute)
+		})
+		return f
+	})
+}
--- a/internal/scenario/plane_test.go
+++ b/internal/scenario/plane_test.go
@@ -63,7 +63,7 @@
 	set := &settings.Settings{NodeName: "n1", IPAddress: "10.0.0.1", AvailabilityZone: "a", RegionName: "r",
 		InternalPortRange: []int{7000, 7010}, SeedNodes: []string{"10.0.0.2:80"},
 		Bounds: settings.Bounds{RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20}}
-	p.sw = switchboard.New(set, event.Nop(), p.dial)
+	p.sw = switchboard.New(set, event.Nop(), func(_, _ time.Duration) func(context.Context, string, string) (net.Conn, error) { return p.dial })
 	return p
 }
 
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -14,7 +14,7 @@
 	"comethold/internal/gather"
 	"comethold/internal/office"
 	"comethold/internal/settings"
-	"comethold/internal/trunk"
+	"comethold/internal/wire"
 
 	"github.com/labstack/echo/v4"
 )
@@ -39,9 +39,9 @@
 	once   sync.Once
 }
 
-// New puts a data plane together that reaches leafs by dial.
-func New(set *settings.Settings, log *event.Log, dial trunk.DialFunc) *Switch {
-	o := office.New(set, log, settings.Switch, dial)
+// New puts a data plane together that reaches others by n.
+func New(set *settings.Settings, log *event.Log, n wire.Net) *Switch {
+	o := office.New(set, log, settings.Switch, n)
 	asker := gather.NewAsker(o.Frame, o.Toll)
 	s := &Switch{Office: o, asker: asker}
 	var objects *announce.Office
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -96,18 +96,26 @@
 	}}
 }
 
+// Net makes what opens connections: each is given up after limit, and once open
+// when the peer is silent for too long.
+type Net func(limit, silent time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Sockets is the Net of the machine.
+func Sockets(limit, silent time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	return Dialer(limit, silent).DialContext
+}
+
 // Client calls other processes.
 type Client struct{ h *http.Client }
 
 // NewClient makes a client.
-func NewClient() *Client { return NewClientWith(700*time.Millisecond, 2*time.Second, 4) }
+func NewClient(n Net) *Client { return NewClientWith(n, 700*time.Millisecond, 2*time.Second, 4) }
 
 // NewClientWith makes a client that gives up on dialling and on a silent peer
 // after the given times, and keeps some idle connections to each peer.
-func NewClientWith(dial, silent time.Duration, idle int) *Client {
-	d := Dialer(dial, silent)
+func NewClientWith(n Net, dial, silent time.Duration, idle int) *Client {
 	return &Client{h: &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, DisableCompression: true,
+		DialContext: n(dial, silent), DisableCompression: true,
 		MaxIdleConnsPerHost: idle, IdleConnTimeout: 30 * time.Second,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 	}}}
