--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -227,7 +227,8 @@
 		}
 		last = now
 		to := map[string]int{}
-		for _, w := range ring.Of(o.Set.NodeName, o.names()) {
+		watchers, _ := ring.Of(o.Set.NodeName, o.names())
+		for _, w := range watchers {
 			for _, n := range o.nodes {
 				if n.Name == w && !n.Control {
 					to[n.Addr] = o.Set.PortOf(settings.Switch)
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -31,18 +31,26 @@
 	return v ^ v>>33
 }
 
-// Of returns the watchers of a node among all nodes.
-func Of(name string, all []string) []string {
-	ring := append([]string(nil), all...)
-	sort.Slice(ring, func(i, j int) bool { return Place(ring[i]) < Place(ring[j]) })
-	at := sort.Search(len(ring), func(i int) bool { return Place(ring[i]) > Place(name) })
-	var out []string
-	for k := 0; k < len(ring) && len(out) < Watchers; k++ {
-		if n := ring[(at+k)%len(ring)]; n != name {
-			out = append(out, n)
+// Of returns the watchers of a node among all nodes, and those that it watches.
+func Of(name string, all []string) (watchers, watched []string) {
+	type spot struct {
+		name  string
+		place uint64
+	}
+	ring := make([]spot, 0, len(all))
+	for _, n := range all {
+		if n != name {
+			ring = append(ring, spot{n, Place(n)})
 		}
 	}
-	return out
+	sort.Slice(ring, func(i, j int) bool { return ring[i].place < ring[j].place })
+	own := Place(name)
+	at := sort.Search(len(ring), func(i int) bool { return ring[i].place > own })
+	for k := range min(Watchers, len(ring)) {
+		watchers = append(watchers, ring[(at+k)%len(ring)].name)
+		watched = append(watched, ring[(at-1-k+len(ring))%len(ring)].name)
+	}
+	return watchers, watched
 }
 
 // Watch is what one node knows of those it watches.
@@ -61,15 +69,9 @@
 // SetNodes takes the directory; a node new to us has until now to be heard.
 func (w *Watch) SetNodes(all []string, now time.Time) {
 	ours := map[string]bool{}
-	for _, n := range all {
-		if n == w.self {
-			continue
-		}
-		for _, x := range Of(n, all) {
-			if x == w.self {
-				ours[n] = true
-			}
-		}
+	_, watched := Of(w.self, all)
+	for _, n := range watched {
+		ours[n] = true
 	}
 	for n := range ours {
 		if !w.ours[n] {
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -192,8 +192,9 @@
 			f.byID[l.ID] = t
 			g.trunks = append(g.trunks, t)
 		}
-		t.leaf = l
-		t.group.graded = nil
+		if t.leaf != l {
+			t.leaf, t.group.graded = l, nil
+		}
 	}
 	for id, t := range f.byID {
 		if _, listed := leafs[id]; !listed {
