All arrivals at a service with a rate count, also those of other routes

ratePerS bounded the reads of objects alone. A switch that calls such a service on a route that is not cacheable now waits for its turn under an announcer's share; what can't have its turn has not run and gets 503 with when to come back. Scenario errands (fails when errands go uncounted). Services without a rate see no change.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -156,6 +156,7 @@
 func (a *Announcer) Inner() *echo.Echo {
 	e := a.Office.Inner()
 	e.POST("/object", a.object)
+	e.POST("/errand", a.errand)
 	return e
 }
 
--- a/internal/announce/scenario_test.go
+++ b/internal/announce/scenario_test.go
@@ -156,6 +156,19 @@
 		} else {
 			synctest.Wait()
 		}
+	case "errands": // errands N [wait=]: calls of switches, all at once; those granted count as reads
+		for range int(c.Millis(0) / time.Millisecond) {
+			w.wg.Go(func() {
+				l := w.a.permit(&errand{Service: "s", WaitMs: int64(c.Number("wait", 3000))})
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if l.Granted {
+					w.reads = append(w.reads, time.Now())
+				} else {
+					w.got["sent away"]++
+				}
+			})
+		}
 	case "spread": // spread N: gets of so many different objects, all at once
 		for i := range int(c.Millis(0) / time.Millisecond) {
 			p := fmt.Sprintf("/many/%d", i)
--- a/internal/announce/turns.go
+++ b/internal/announce/turns.go
@@ -28,6 +28,7 @@
 	since   time.Time
 	until   time.Time
 	turn    chan turn
+	errand  bool // the call is a switch's, which finds the leaf itself
 }
 
 type turn struct {
@@ -84,6 +85,18 @@
 	return a.since.After(b.since)
 }
 
+// reserve takes a leaf for a ticket; an errand needs none.
+func (q *turns) reserve(k *ticket) *trunk.Trunk {
+	if k.errand {
+		return &trunk.Trunk{}
+	}
+	t := q.seize(k.service, k.tried, false)
+	if t == nil && len(k.tried) > 0 {
+		t = q.seize(k.service, nil, false)
+	}
+	return t
+}
+
 // serve gives out all turns that there are now, and refuses what has no hope.
 func (q *turns) serve(service string, now time.Time) {
 	list := q.waiting[service]
@@ -95,15 +108,14 @@
 			}
 		}
 		k := list[best]
-		t := q.seize(service, k.tried, false)
-		if t == nil && len(k.tried) > 0 {
-			t = q.seize(service, nil, false)
-		}
+		t := q.reserve(k)
 		if t == nil {
 			break
 		}
 		if ok, _ := q.ration.Take(service, k.rate, now); !ok {
-			q.undo(t)
+			if !k.errand {
+				q.undo(t)
+			}
 			break
 		}
 		list = append(list[:best:best], list[best+1:]...)
--- a/internal/announce/wire.go
+++ b/internal/announce/wire.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comethold/internal/feed"
@@ -159,6 +160,7 @@
 type Office struct {
 	caller *caller
 	desk   *Desk
+	round  atomic.Int64
 }
 
 // NewOffice makes the switch's side with a cache of some bytes.
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -36,6 +36,9 @@
 type Asker struct {
 	frame *trunk.Frame
 	toll  *toll.Toll
+	// Permit, if set, waits until a call may be made to a service whose rate is
+	// bounded; if it may not, it says when to come back.
+	Permit func(service string, until time.Time) (ok bool, back time.Duration)
 
 	mu    sync.Mutex
 	paces map[string]*pace
@@ -98,6 +101,7 @@
 
 type outcome struct {
 	shard int
+	back  time.Duration // with errNoTurn
 	a     *trunk.Answer
 	err   error
 	took  time.Duration
@@ -112,11 +116,14 @@
 	shards []shard
 	ch     chan outcome
 	usual  time.Duration
-	in     int       // shards whose part is in
-	open   int       // shards that may still answer
-	due    time.Time // not after the next moment at which an open shard needs something done
+	in     int           // shards whose part is in
+	open   int           // shards that may still answer
+	back   time.Duration // when a service's rate allows more, if that was in the way
+	due    time.Time     // not after the next moment at which an open shard needs something done
 }
 
+var errNoTurn = errors.New("gather: the service's rate is spent")
+
 func failure(status int, why string) *Reply { return &Reply{Status: status, Why: why} }
 
 func comeBack(why string) *Reply {
@@ -124,6 +131,13 @@
 		RetryAfter: comeBackMin + time.Duration(rand.Int64N(int64(2*comeBackMin)))}
 }
 
+// comeBack says so not before a rate that was in the way allows more.
+func (k *asking) comeBack(why string) *Reply {
+	r := comeBack(why)
+	r.RetryAfter = max(r.RetryAfter, k.back)
+	return r
+}
+
 // Ask carries a request to the leafs of its line and returns the answer.
 func (a *Asker) Ask(l *numbering.Line, r *trunk.Request, start time.Time) *Reply {
 	services := l.FanoutServices
@@ -190,6 +204,13 @@
 	s.hedgeAt = now.Add(k.usual)
 	k.dueBy(s.hedgeAt)
 	go func() {
+		if k.Permit != nil {
+			if ok, back := k.Permit(t.Leaf().Service, k.req.Deadline); !ok {
+				k.frame.Release(t)
+				k.ch <- outcome{shard: i, back: back, err: errNoTurn}
+				return
+			}
+		}
 		began := time.Now()
 		a, err := k.frame.Call(t, k.req)
 		k.ch <- outcome{shard: i, a: a, err: err, took: time.Since(began)}
@@ -344,6 +365,9 @@
 		k.fill(s, o.a)
 		k.pace.add(o.took)
 		return
+	case errors.Is(o.err, errNoTurn):
+		s.sent--
+		k.back = max(k.back, o.back)
 	case errors.Is(o.err, trunk.ErrNotSent):
 		s.sent--
 		if s.free++; s.part == nil && s.pending == 0 && s.free <= freeTries && k.req.Deadline.After(now) && k.launch(o.shard, now) {
@@ -391,7 +415,7 @@
 	case s.last != nil && s.last.Status == http.StatusBadRequest:
 		return &Reply{Status: http.StatusBadRequest, Header: s.last.Header, Body: s.last.Body}
 	}
-	return comeBack("no leaf takes the request now")
+	return k.comeBack("no leaf takes the request now")
 }
 
 // promises reports whether clients take a status as word that the request has
@@ -431,7 +455,7 @@
 	case ran:
 		return failure(http.StatusBadGateway, "too few shards answered")
 	default:
-		return comeBack("too few shards take the request now")
+		return k.comeBack("too few shards take the request now")
 	}
 	h.Set(HeaderParts, string(stamps))
 	h.Set(HeaderMissing, strconv.Itoa(len(k.shards)-len(bodies)))
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -47,6 +47,7 @@
 	var objects *announce.Office
 	if set.DeploymentMode == settings.Content {
 		objects = announce.NewOffice(o, hotBytes)
+		asker.Permit = objects.Permit
 	}
 	s.front = newFront(o, asker, objects, log)
 	s.served = s.front.server()
