--- a/internal/numbering/amend.go
+++ b/internal/numbering/amend.go
@@ -8,7 +8,7 @@
 
 // Amendment changes named items of a configuration.
 type Amendment struct {
-	Version uint64                       `json:"version" validate:"required"`
+	Version uint64                       `json:"version" validate:"required,max=4611686018427387904"`
 	Upsert  map[string][]json.RawMessage `json:"upsert" validate:"dive,keys,oneof=routes services,endkeys"`
 	Remove  map[string][]string          `json:"remove" validate:"dive,keys,oneof=routes services,endkeys"`
 }
--- a/internal/numbering/config.go
+++ b/internal/numbering/config.go
@@ -28,7 +28,7 @@
 
 // Configuration is one whole configuration of the operator.
 type Configuration struct {
-	Version  uint64    `json:"version" validate:"required"`
+	Version  uint64    `json:"version" validate:"required,max=4611686018427387904"`
 	Routes   []Route   `json:"routes" validate:"dive"`
 	Services []Service `json:"services" validate:"unique=Name,dive"`
 	Limits   Limits    `json:"limits"`
@@ -94,14 +94,10 @@
 
 // Read decodes and checks a configuration. The error names every fault found.
 func Read(raw []byte) (*Configuration, error) {
-	dec := json.NewDecoder(strings.NewReader(string(raw)))
 	c := &Configuration{}
-	if err := dec.Decode(c); err != nil {
+	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnreadable, err)
 	}
-	if dec.More() {
-		return nil, fmt.Errorf("%w: more follows after its end", ErrUnreadable)
-	}
 	if faults := c.faults(); len(faults) > 0 {
 		return nil, fmt.Errorf("%w: %s", ErrInvalid, strings.Join(faults, "; "))
 	}
--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -18,7 +18,8 @@
 
 // Limits of the operator's calls. The operator moves on after a second.
 const (
-	maxOrderBytes = 16 << 20
+	maxOrderBytes = 8 << 20
+	largeOrder    = 1 << 20 // of these one at a time is read
 	orderPatience = 1500 * time.Millisecond
 	baseHeader    = "X-Comethold-Base-Version"
 	greetTime     = time.Second     // in which registrars that start together have met
@@ -44,8 +45,15 @@
 	make    func(current []byte) (*numbering.Configuration, []byte, error)
 }
 
-// readOrder reads what Replace and Amend share.
-func readOrder(c echo.Context) (*order, int, string) {
+// readOrder reads what Replace and Amend share. To read a large order takes many
+// times its size, so there is room for one.
+func (r *Registrar) readOrder(c echo.Context) (*order, int, string) {
+	if n := c.Request().ContentLength; n < 0 || n > largeOrder {
+		if !r.large.TryLock() {
+			return nil, http.StatusServiceUnavailable, "another large order is being read"
+		}
+		defer r.large.Unlock()
+	}
 	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxOrderBytes+1))
 	if err != nil {
 		return nil, http.StatusBadRequest, "the body broke off"
@@ -62,7 +70,7 @@
 
 // replace takes a whole configuration on top of a base version.
 func (r *Registrar) replace(c echo.Context) error {
-	o, status, why := readOrder(c)
+	o, status, why := r.readOrder(c)
 	if o == nil {
 		return refuse(c, status, why)
 	}
@@ -78,7 +86,7 @@
 
 // amend takes a change of named items on top of a base version.
 func (r *Registrar) amend(c echo.Context) error {
-	o, status, why := readOrder(c)
+	o, status, why := r.readOrder(c)
 	if o == nil {
 		return refuse(c, status, why)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -40,7 +40,8 @@
 	claims  chan *pendingClaim
 	shares  shareKeeper
 
-	young bool // this is the first start of the whole system
+	large sync.Mutex // held while a large order is read
+	young bool       // this is the first start of the whole system
 	quit  chan struct{}
 	once  sync.Once
 	wg    sync.WaitGroup
