--- /dev/null
+++ b/internal/cell/proposer.go
@@ -0,0 +1,278 @@
+package cell
+
+import (
+	"time"
+)
+
+// What a member does that bids or leads; each change of role is one function.
+
+func (m *Member) bid(now time.Duration) {
+	m.role, m.since = Bidding, now
+	m.leader = ""
+	m.maxRound++
+	m.ballot = Ballot{Round: m.maxRound, By: m.p.Self}
+	m.promises, m.adopt, m.flights = map[MemberID]bool{}, map[uint64]Entry{}, map[uint64]*flight{}
+	m.deadline = now + m.p.Patience + time.Duration(m.p.Jitter()*float64(m.p.Patience))
+	for slot := m.applied + 1; slot <= m.applied+m.p.Alpha; slot++ {
+		m.sendPrepare(slot)
+	}
+	m.tryLead(now)
+}
+
+// tryLead goes on to lead when a majority of every membership that the open
+// positions may need has promised. Our own promise comes last: while others
+// still hear their proposer we stay free to follow it.
+func (m *Member) tryLead(now time.Duration) {
+	for _, own := range []bool{true, false} {
+		for s := m.applied + 1; s <= m.applied+m.p.Alpha; s++ {
+			if !majority(m.st.at(s), func(id MemberID) bool { return m.promises[id] || (own && id == m.p.Self) }) {
+				m.sendPrepare(s)
+				return
+			}
+		}
+		if _, done := m.promises[m.p.Self]; !done && own {
+			m.promises[m.p.Self] = false
+			m.send(Message{Kind: Prepare, To: m.p.Self, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+	m.lead(now)
+}
+
+func (m *Member) lead(now time.Duration) {
+	m.role, m.since = Leading, now
+	m.leader = m.p.Self
+	m.next = m.applied + 1
+	m.firstBeat = m.seq + 1
+	for _, s := range m.st.at(m.next).Seats {
+		m.ackedAt[s.ID] = now // the promises just came in
+	}
+	m.pump(now)
+	m.beat(now)
+}
+
+// Propose queues a transaction; its Outcome comes with a later Output.
+func (m *Member) Propose(now time.Duration, t Txn) error {
+	if m.role != Leading {
+		return ErrNotProposer
+	}
+	if len(m.queue) >= m.p.MaxQueue {
+		return ErrBusy
+	}
+	m.queue = append(m.queue, t)
+	m.waiting[t.ID] = true
+	m.pump(now)
+	return nil
+}
+
+// Read asks for a moment at which the applied state is known to be current:
+// the ticket comes back in Output.Reads once a majority confirms the proposer.
+func (m *Member) Read(now time.Duration, ticket uint64) error {
+	if m.role != Leading || m.next == 0 {
+		return ErrNotProposer
+	}
+	if len(m.adopt) > 0 && m.applied < m.maxAdopt() {
+		return ErrBusy // what an earlier proposer chose is not all applied yet
+	}
+	m.beat(now)
+	m.reads[m.seq] = append(m.reads[m.seq], ticket)
+	return nil
+}
+
+func (m *Member) maxAdopt() uint64 {
+	var top uint64
+	for s := range m.adopt {
+		if s > top {
+			top = s
+		}
+	}
+	return top
+}
+
+func (m *Member) sendPrepare(slot uint64) {
+	for _, s := range m.st.at(slot).Seats {
+		if _, done := m.promises[s.ID]; !done && s.ID != m.p.Self {
+			m.promises[s.ID] = false
+			m.send(Message{Kind: Prepare, To: s.ID, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+}
+
+// pump proposes while the pipeline of alpha positions has room.
+func (m *Member) pump(now time.Duration) {
+	if m.role != Leading {
+		return
+	}
+	top := m.maxAdopt()
+	for m.next <= m.applied+m.p.Alpha {
+		ms := m.st.at(m.next)
+		if !ms.Has(m.p.Self) && m.next == m.applied+1 {
+			m.leader = ""
+			m.listen(now) // moved out of the cell
+			return
+		}
+		if !majority(ms, func(id MemberID) bool { return m.promises[id] }) {
+			m.sendPrepare(m.next)
+			return
+		}
+		e := Entry{Slot: m.next, Ballot: m.ballot}
+		if a, ok := m.adopt[m.next]; ok {
+			e.Txns = a.Txns
+		} else if m.next > top {
+			if len(m.queue) == 0 {
+				return
+			}
+			n := min(len(m.queue), m.p.MaxBatch)
+			e.Txns = append([]Txn(nil), m.queue[:n]...)
+			m.queue = m.queue[n:]
+		}
+		m.flights[m.next] = &flight{entry: e, acks: map[MemberID]bool{}, sentAt: now}
+		m.next++
+		m.sendAccept(e, ms, nil)
+	}
+}
+
+func (m *Member) sendAccept(e Entry, ms Membership, acked map[MemberID]bool) {
+	msg := Message{Kind: Accept, Ballot: m.ballot, Chosen: m.applied, Entries: []Entry{e}}
+	for _, s := range ms.Seats {
+		if !acked[s.ID] {
+			msg.To = s.ID
+			m.send(msg)
+		}
+	}
+	for _, id := range m.learners {
+		if !ms.Has(id) && !acked[id] {
+			msg.To = id
+			m.send(msg)
+		}
+	}
+}
+
+func (m *Member) resend(now time.Duration) {
+	for slot := m.applied + 1; slot < m.next; slot++ {
+		if f := m.flights[slot]; f != nil && !f.chosen && now-f.sentAt >= m.p.Beat {
+			f.sentAt = now
+			m.sendAccept(f.entry, m.st.at(slot), f.acks)
+		}
+	}
+	for id, ok := range m.promises {
+		if !ok {
+			m.send(Message{Kind: Prepare, To: id, Ballot: m.ballot, Slot: m.applied})
+		}
+	}
+}
+
+func (m *Member) beat(now time.Duration) {
+	m.seq++
+	m.beatAt = now
+	msg := Message{Kind: Beat, Ballot: m.ballot, Chosen: m.applied, Seq: m.seq}
+	ms := m.st.at(m.applied + 1)
+	seen := map[MemberID]bool{}
+	tell := func(id MemberID) {
+		if !seen[id] && id != m.p.Self {
+			seen[id] = true
+			msg.To = id
+			m.send(msg)
+		}
+	}
+	for _, s := range ms.Seats {
+		tell(s.ID)
+	}
+	for _, s := range m.st.latest().Seats {
+		tell(s.ID)
+	}
+	for _, id := range m.learners {
+		tell(id)
+	}
+	m.ackedBeat(m.p.Self, m.seq, now)
+}
+
+func (m *Member) ackedBeat(id MemberID, seq uint64, now time.Duration) {
+	if seq > m.acked[id] {
+		m.acked[id] = seq
+		m.ackedAt[id] = now
+	}
+	if len(m.reads) == 0 {
+		return
+	}
+	ms := m.st.at(m.applied + 1)
+	for s, tickets := range m.reads {
+		if majority(ms, func(id MemberID) bool { return m.acked[id] >= s }) {
+			m.out.Reads = append(m.out.Reads, tickets...)
+			delete(m.reads, s)
+		}
+	}
+}
+
+func (m *Member) onPromise(now time.Duration, msg Message) {
+	if m.role == Listening || msg.Ballot != m.ballot || m.promises[msg.From] {
+		return
+	}
+	m.learn(now, msg)
+	if m.role == Listening {
+		return
+	}
+	for _, e := range msg.Entries {
+		if e.Slot <= m.applied {
+			continue
+		}
+		if a, ok := m.adopt[e.Slot]; !ok || a.Ballot.Less(e.Ballot) {
+			m.adopt[e.Slot] = e
+		}
+	}
+	if msg.Chosen > m.applied {
+		return // it could not teach us all it knows: not a promise we can use yet
+	}
+	m.promises[msg.From] = true
+	if m.role == Bidding {
+		m.tryLead(now)
+		return
+	}
+	m.pump(now)
+}
+
+func (m *Member) onReject(now time.Duration, msg Message) {
+	if msg.Ballot.Round > m.maxRound {
+		m.maxRound = msg.Ballot.Round
+	}
+	if m.role == Leading && m.ballot.Less(msg.Ballot) {
+		m.leader = ""
+		m.listen(now)
+	}
+}
+
+func (m *Member) onAccepted(now time.Duration, msg Message) {
+	if m.role != Leading || msg.Ballot != m.ballot {
+		return
+	}
+	for _, s := range msg.Slots {
+		f := m.flights[s]
+		if f == nil {
+			continue
+		}
+		f.acks[msg.From] = true
+		if majority(m.st.at(s), func(id MemberID) bool { return f.acks[id] }) {
+			f.chosen = true
+		}
+	}
+	moved := false
+	for {
+		f := m.flights[m.applied+1]
+		if f == nil || !f.chosen {
+			break
+		}
+		delete(m.flights, m.applied+1)
+		delete(m.adopt, m.applied+1)
+		if own := m.log[f.entry.Slot]; own == nil || own.Ballot != f.entry.Ballot {
+			m.keep(f.entry)
+			m.out.Writes.Entries = append(m.out.Writes.Entries, f.entry)
+		}
+		m.applyNext()
+		moved = true
+	}
+	if moved {
+		m.pump(now)
+		if m.role == Leading {
+			m.beat(now) // others learn at once what was chosen
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/teach.go
@@ -0,0 +1,141 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+func (m *Member) segment(from, to uint64) []Entry {
+	var out []Entry
+	for slot, e := range m.log {
+		if slot > from && slot <= to {
+			out = append(out, *e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Slot < out[j].Slot })
+	return out
+}
+
+// catchUp applies what the proposer says is chosen as far as we hold it from
+// that very proposer, and asks to be taught the rest. A newcomer applies nothing
+// before it has been taught a snapshot: the first membership stands in no log.
+func (m *Member) catchUp(now time.Duration, b Ballot, chosen uint64) {
+	for m.applied < chosen && m.st.founded() {
+		e := m.log[m.applied+1]
+		if e == nil || e.Ballot != b {
+			break
+		}
+		m.applyNext()
+	}
+	if m.applied >= chosen {
+		m.asked, m.current = false, now
+		return
+	}
+	if !m.asked || now-m.askedAt >= m.p.Beat {
+		m.asked, m.askedAt = true, now
+		m.send(Message{Kind: Ask, To: b.By, Slot: m.applied, Fresh: !m.st.founded()})
+	}
+}
+
+func (m *Member) onAsk(msg Message) {
+	if !m.st.founded() || msg.Slot >= m.applied && !msg.Fresh {
+		return
+	}
+	r := Message{Kind: Teach, To: msg.From, Chosen: m.applied}
+	if msg.Slot >= m.base && !msg.Fresh {
+		r.Entries = m.segment(msg.Slot, m.applied)
+		n := 0
+		for i := range r.Entries {
+			n += entrySize(&r.Entries[i])
+		}
+		if n <= m.st.size() || len(r.Entries) <= 4 {
+			m.send(r)
+			return
+		}
+		r.Entries = nil
+	}
+	r.Snap = m.st.snapshot(m.applied)
+	m.send(r)
+}
+
+func (m *Member) onTeach(now time.Duration, msg Message) {
+	m.learn(now, msg)
+	m.asked = false
+	m.pump(now)
+}
+
+// learn takes in decided content: a snapshot and entries up to msg.Chosen.
+func (m *Member) learn(now time.Duration, msg Message) {
+	if m.role == Leading && msg.Chosen > m.applied && !m.mayLearn(msg) {
+		m.leader = ""
+		m.listen(now)
+	}
+	if msg.Snap != nil && (msg.Snap.Applied > m.applied || !m.st.founded()) {
+		m.load(msg.Snap)
+		m.out.Writes.Snap = msg.Snap
+		m.out.Writes.DropTo = msg.Snap.Applied
+		m.out.Changed = true
+	}
+	for _, e := range msg.Entries {
+		if e.Slot == m.applied+1 && e.Slot <= msg.Chosen && m.st.founded() {
+			m.keep(e)
+			m.out.Writes.Entries = append(m.out.Writes.Entries, e)
+			m.applyNext()
+			delete(m.flights, m.applied)
+			delete(m.adopt, m.applied)
+		}
+	}
+	m.next = max(m.next, m.applied+1)
+}
+
+// mayLearn reports whether a proposer that is taught may stay in its place. What
+// was chosen under an older ballot than its own is what it has adopted for that
+// position, so it vouches for nothing else. Anything newer shows that it has been
+// replaced, and a snapshot does not say under which ballots it came about.
+func (m *Member) mayLearn(msg Message) bool {
+	if msg.Snap != nil && msg.Snap.Applied > m.applied {
+		return false
+	}
+	upTo := m.applied
+	for _, e := range msg.Entries {
+		if e.Slot == upTo+1 && e.Slot <= msg.Chosen && e.Ballot.Less(m.ballot) {
+			upTo++
+		}
+	}
+	return upTo >= msg.Chosen
+}
+
+func (m *Member) applyNext() {
+	slot := m.applied + 1
+	e := m.log[slot]
+	for _, t := range e.Txns {
+		ok := m.st.apply(t, slot, m.p.Alpha)
+		m.finish(Outcome{ID: t.ID, Committed: ok})
+	}
+	m.applied = slot
+	m.out.Changed = true
+	m.st.prune(m.applied)
+	m.compact()
+}
+
+// compact replaces a long log by a snapshot.
+func (m *Member) compact() {
+	if m.applied-m.base < 2*m.p.KeepLog && m.logBytes < 1<<20 {
+		return
+	}
+	cut := m.applied
+	if m.logBytes < 1<<20 {
+		cut = m.applied - m.p.KeepLog
+	}
+	// The snapshot is of the newest state; the entries kept below it only
+	// serve to teach.
+	m.out.Writes.Snap = m.st.snapshot(m.applied)
+	m.out.Writes.DropTo = m.applied
+	for slot, e := range m.log {
+		if slot <= cut {
+			m.logBytes -= entrySize(e)
+			delete(m.log, slot)
+		}
+	}
+	m.base = cut
+}
