--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -207,6 +207,38 @@
 	return resp.StatusCode, string(b)
 }
 
+// garble sends what can't be understood; each of it is to be turned away.
+func (f *fleet) garble(m *machine) error {
+	doors := []string{}
+	if m.reg != nil {
+		for _, path := range []string{"/cells", "/propose", "/confirm", "/claim", "/move", "/list", "/feed", "/ration"} {
+			doors = append(doors, net.JoinHostPort(m.addr, strconv.Itoa(f.settings(m).PortOf(settings.Registrar)))+path)
+		}
+		for _, path := range []string{"/Configuration.Replace", "/Configuration.Amend", "/purge"} {
+			doors = append(doors, net.JoinHostPort(m.addr, controlPort)+path)
+		}
+	}
+	doors = append(doors, net.JoinHostPort(m.addr, strconv.Itoa(f.settings(m).PortOf(settings.Switch)))+"/feed")
+	nested := "\x00" + strings.Repeat("\x81", 5000)
+	for _, door := range doors {
+		for _, raw := range []string{"", "\x00", "\x01", "\x01\xff\xff\xff", "\x00\xa1\x01", "\x00\xbb\xff\xff\xff\xff\xff\xff\xff\xff", "\x00\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
+			nested, "\x00\xf6\xf6", strings.Repeat("[", 5000), "{\"version\":1e999}"} {
+			t := &http.Transport{DialContext: f.mesh.of("10.250.0.1")(time.Second, time.Second), DisableKeepAlives: true}
+			r, _ := http.NewRequest(http.MethodPost, "http://"+door, strings.NewReader(raw))
+			r.Header.Set("X-Comethold-Base-Version", "0")
+			resp, err := t.RoundTrip(r)
+			if err != nil {
+				return fmt.Errorf("%s: %.20q: %w", door, raw, err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode/100 != 4 {
+				return fmt.Errorf("%s: %.20q: %d", door, raw, resp.StatusCode)
+			}
+		}
+	}
+	return nil
+}
+
 func (f *fleet) post(m *machine, path string, base uint64, raw string) int {
 	status, _ := f.call(m, http.MethodPost, path, base, raw)
 	return status
@@ -341,6 +373,12 @@
 			}
 			return true
 		})
+	case "garble": // garble NAMES: bytes that are no message, to every door of a machine
+		for _, m := range f.pick(c.Word(0)) {
+			if err := f.garble(m); err != nil {
+				return err
+			}
+		}
 	case "replace": // replace VERSION BASE AT [mark= within=]
 		f.order(f.pick(c.Word(2))[0], uintOf(0), uintOf(1), c.Opts["mark"], time.Duration(c.Number("within", 0))*time.Millisecond)
 	case "race": // race BASE V1@AT V2@AT ... [within=]: all at once
