--- a/cmd/comethold/run.go
+++ b/cmd/comethold/run.go
@@ -134,6 +134,11 @@
 	}
 	var g run.Group
 	g.Add(r.Run, func(error) { r.Stop() })
+	udp, err := net.ListenPacket("udp4", registrar.InnerAddress(set))
+	if err != nil {
+		return fmt.Errorf("cannot listen: %w", err)
+	}
+	g.Add(func() error { return r.Cast(udp) }, func(error) { r.Stop() })
 	if err := serve(&g, set.Listen.ControlPlane, r.Operator()); err != nil {
 		return err
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	NodeDown         Number = 402
 	DutyTaken        Number = 403
 	DutyLost         Number = 404
+	QuotaShare       Number = 405
 	LeafMarked       Number = 501
 	LeafCleared      Number = 502
 	ListChanged      Number = 503
--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -18,6 +18,8 @@
 	Limits       numbering.Limits    `cbor:"5,keyasint"`
 	GoneRoutes   []string            `cbor:"6,keyasint,omitempty"`
 	GoneServices []string            `cbor:"7,keyasint,omitempty"`
+	Tenants      []numbering.Tenant  `cbor:"8,keyasint,omitempty"`
+	GoneTenants  []string            `cbor:"9,keyasint,omitempty"`
 }
 
 // routeKey is what no two routes share.
@@ -25,9 +27,11 @@
 
 func serviceKey(s *numbering.Service) string { return s.Name }
 
+func tenantKey(t *numbering.Tenant) string { return t.Name }
+
 // Whole tells all of a configuration.
 func Whole(c *numbering.Configuration) *Config {
-	return &Config{Version: c.Version, Routes: c.Routes, Services: c.Services, Limits: c.Limits}
+	return &Config{Version: c.Version, Routes: c.Routes, Services: c.Services, Tenants: c.Tenants, Limits: c.Limits}
 }
 
 // Between tells what makes next of old.
@@ -35,6 +39,7 @@
 	c := &Config{Version: next.Version, Base: old.Version, Limits: next.Limits}
 	c.Routes, c.GoneRoutes = between(old.Routes, next.Routes, routeKey)
 	c.Services, c.GoneServices = between(old.Services, next.Services, serviceKey)
+	c.Tenants, c.GoneTenants = between(old.Tenants, next.Tenants, tenantKey)
 	return c
 }
 
@@ -64,10 +69,11 @@
 	if old != nil && old.Version >= c.Version || c.Base != 0 && (old == nil || old.Version != c.Base) {
 		return nil, false
 	}
-	next := &numbering.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services, Limits: c.Limits}
+	next := &numbering.Configuration{Version: c.Version, Routes: c.Routes, Services: c.Services, Tenants: c.Tenants, Limits: c.Limits}
 	if c.Base != 0 {
 		next.Routes = onto(old.Routes, c.Routes, c.GoneRoutes, routeKey)
 		next.Services = onto(old.Services, c.Services, c.GoneServices, serviceKey)
+		next.Tenants = onto(old.Tenants, c.Tenants, c.GoneTenants, tenantKey)
 	}
 	return next, true
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -123,8 +123,20 @@
 	Permille int    `cbor:"2,keyasint"`
 	// Fresh: the asker uses nothing of its share now and takes what is fair.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
+	// Of says which shares are meant.
+	Of Shares `cbor:"4,keyasint,omitempty"`
 }
 
+// Shares names a table of leased shares.
+type Shares uint8
+
+// The tables: of the rates of services, held by announcers, and of the tenants' quotas,
+// held by registrars.
+const (
+	SharesOfRates Shares = iota
+	SharesOfQuotas
+)
+
 // Grant answers a Claim: what is granted now and what would be fair.
 type Grant struct {
 	Permille int  `cbor:"1,keyasint"`
--- a/internal/numbering/amend.go
+++ b/internal/numbering/amend.go
@@ -9,8 +9,8 @@
 // Amendment changes named items of a configuration.
 type Amendment struct {
 	Version uint64                       `json:"version" validate:"required,max=4611686018427387904"`
-	Upsert  map[string][]json.RawMessage `json:"upsert" validate:"dive,keys,oneof=routes services,endkeys"`
-	Remove  map[string][]string          `json:"remove" validate:"dive,keys,oneof=routes services,endkeys"`
+	Upsert  map[string][]json.RawMessage `json:"upsert" validate:"dive,keys,oneof=routes services tenants,endkeys"`
+	Remove  map[string][]string          `json:"remove" validate:"dive,keys,oneof=routes services tenants,endkeys"`
 }
 
 // ReadAmendment decodes and checks an amendment by itself.
@@ -53,7 +53,7 @@
 		}
 	}
 	whole["version"] = json.RawMessage(strconv.FormatUint(a.Version, 10))
-	for _, list := range []string{"routes", "services"} {
+	for _, list := range []string{"routes", "services", "tenants"} {
 		if len(a.Upsert[list]) == 0 && len(a.Remove[list]) == 0 {
 			continue
 		}
--- a/internal/numbering/config.go
+++ b/internal/numbering/config.go
@@ -31,7 +31,9 @@
 	Version  uint64    `json:"version" validate:"required,max=4611686018427387904"`
 	Routes   []Route   `json:"routes" validate:"dive"`
 	Services []Service `json:"services" validate:"unique=Name,dive"`
-	Limits   Limits    `json:"limits"`
+	// Tenants, if there are any, are who may send requests.
+	Tenants []Tenant `json:"tenants,omitempty" validate:"dive"`
+	Limits  Limits   `json:"limits"`
 }
 
 // Weighted is one service of a split route.
@@ -56,6 +58,19 @@
 	FanoutServices    []string   `json:"fanoutServices,omitempty" validate:"unique,dive,required"`
 	ResultCount       int64      `json:"resultCount,omitempty" validate:"min=0,max=10000000"`
 	MinimumShardShare float64    `json:"minimumShardShare,omitempty" validate:"min=0,max=1"`
+	// Public: requests need no key.
+	Public bool `json:"public,omitempty"`
+}
+
+// Tenant is one who may send requests, known by any of its keys. Its rate and burst
+// bound what all nodes together pass on for it; a rate of 0 sets no bound.
+type Tenant struct {
+	Name      string   `json:"name" validate:"required"`
+	APIKeys   []string `json:"apiKeys"`
+	RatePerS  float64  `json:"ratePerS,omitempty" validate:"min=0,max=1000000000"`
+	BurstSize float64  `json:"burstSize,omitempty" validate:"min=0,max=1000000000"`
+	// Priority, if given, stands before that of the route.
+	Priority *int64 `json:"priority,omitempty" validate:"omitempty,min=0"`
 }
 
 // TTL is how long an answer on the route may stay kept.
@@ -185,6 +200,27 @@
 			break
 		}
 	}
+	return append(out, tenantFaults(c.Tenants)...)
+}
+
+// tenantFaults never shows a key: faults are logged.
+func tenantFaults(tenants []Tenant) (out []string) {
+	names, holders := map[string]bool{}, map[string]string{}
+	for i, t := range tenants {
+		if names[t.Name] {
+			out = append(out, fmt.Sprintf("tenants[%d].name: %q stands there twice", i, t.Name))
+		}
+		names[t.Name] = true
+		for j, k := range t.APIKeys {
+			if other, ok := holders[k]; ok && other != t.Name {
+				out = append(out, fmt.Sprintf("tenants[%d].apiKeys[%d]: %q shares it with %q", i, j, t.Name, other))
+			}
+			holders[k] = t.Name
+		}
+		if len(out) > maxFaults {
+			break
+		}
+	}
 	return out
 }
 
--- a/internal/numbering/plan.go
+++ b/internal/numbering/plan.go
@@ -15,6 +15,8 @@
 	Limits   Limits
 	Services map[string]*Service
 	hosts    map[string]*host
+	holders  map[string]*Tenant // by key
+	tenants  map[string]*Tenant // by name
 }
 
 // Line is one compiled route.
@@ -38,6 +40,17 @@
 	for i := range c.Services {
 		p.Services[c.Services[i].Name] = &c.Services[i]
 	}
+	if len(c.Tenants) > 0 {
+		p.holders = make(map[string]*Tenant, len(c.Tenants))
+		p.tenants = make(map[string]*Tenant, len(c.Tenants))
+		for i := range c.Tenants {
+			p.tenants[c.Tenants[i].Name] = &c.Tenants[i]
+			for _, k := range c.Tenants[i].APIKeys {
+				p.holders[k] = &c.Tenants[i]
+			}
+		}
+		delete(p.holders, "")
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		l := &Line{Route: *r, Timeout: time.Duration(r.TimeoutMs) * time.Millisecond,
@@ -105,6 +118,34 @@
 	return nil
 }
 
+// keyScheme is the scheme of the credentials that hold a key.
+const keyScheme = "Token"
+
+// Holder finds the tenant whose key a request bears in its credentials, which are the
+// values of its Authorization header. known is false where the request may not run:
+// it lacks a key that it needs, or its key is no tenant's. own says that the
+// credentials hold a key of this system, which no leaf may see.
+func (p *Plan) Holder(l *Line, credentials []string) (t *Tenant, own, known bool) {
+	if p.holders == nil {
+		return nil, false, true
+	}
+	if len(credentials) == 0 {
+		return nil, false, l.Public
+	}
+	scheme, key, _ := strings.Cut(credentials[0], " ")
+	if len(credentials) > 1 || !strings.EqualFold(scheme, keyScheme) {
+		return nil, !l.Public, l.Public // what a leaf of a public route makes of it is its own
+	}
+	t = p.holders[strings.TrimSpace(key)]
+	return t, true, t != nil
+}
+
+// Keyed reports whether requests need a key.
+func (p *Plan) Keyed() bool { return p.holders != nil }
+
+// Tenant returns a tenant by name, or nil.
+func (p *Plan) Tenant(name string) *Tenant { return p.tenants[name] }
+
 // Pick returns the service for one request to a line that is not gathered; u
 // is a number in [0,1).
 func (l *Line) Pick(u float64) string {
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -13,6 +13,7 @@
 	"comethold/internal/event"
 	"comethold/internal/feed"
 	"comethold/internal/numbering"
+	"comethold/internal/quota"
 	"comethold/internal/ring"
 	"comethold/internal/settings"
 	"comethold/internal/toll"
@@ -37,6 +38,10 @@
 	once    sync.Once
 	stores  atomic.Pointer[[]feed.Node]
 
+	castMu  sync.Mutex
+	cast    net.PacketConn // for datagrams, once Beat has begun
+	onGrant func(*quota.Grant)
+
 	ringMu sync.Mutex
 	watch  *ring.Watch
 	nodes  []feed.Node
@@ -48,7 +53,7 @@
 	frame := trunk.NewFrame(trunk.Place{Node: set.NodeName, Zone: set.AvailabilityZone, Region: set.Region}, dial, log)
 	b := set.Bounds
 	budget := toll.New(toll.Terms{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: b.Window()}, time.Now())
-	o := &Office{Set: set, Net: n, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}),
+	o := &Office{Set: set, Net: n, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}), onGrant: func(*quota.Grant) {},
 		state: newState(log, frame, budget), watch: ring.NewWatch(set.NodeName, set.Heartbeat())}
 	o.feeder = newFeeder(set, o.state, log, program, wire.NewClient(n))
 	o.feeder.suspects = o.suspects
@@ -84,6 +89,19 @@
 // OnRecalls: see OnPlan.
 func (o *Office) OnRecalls(f func(*feed.Recalls)) { o.state.onRecalls = f }
 
+// OnGrant names what takes grants of tokens; see OnPlan.
+func (o *Office) OnGrant(f func(*quota.Grant)) { o.onGrant = f }
+
+// Send sends a datagram to another process, if it can.
+func (o *Office) Send(to net.Addr, d *quota.Datagram) {
+	o.castMu.Lock()
+	c := o.cast
+	o.castMu.Unlock()
+	if b, err := wire.Marshal(d); err == nil && c != nil {
+		_, _ = c.WriteTo(b, to)
+	}
+}
+
 // StartAt sets the position of the copies that this node kept over a restart.
 func (o *Office) StartAt(pos uint64) {
 	o.state.pos.Store(pos)
@@ -176,10 +194,6 @@
 
 // The ring.
 
-type beat struct {
-	Name string `cbor:"1,keyasint"`
-}
-
 func (o *Office) setNodes(all []feed.Node) {
 	o.feeder.setNodes(all)
 	stores := []feed.Node{}
@@ -216,8 +230,11 @@
 // Beat sends heartbeats to this node's watchers and hears those of the nodes
 // that it watches.
 func (o *Office) Beat(c net.PacketConn) error {
+	o.castMu.Lock()
+	o.cast = c
+	o.castMu.Unlock()
 	go o.listen(c)
-	msg, err := wire.Marshal(beat{o.Set.NodeName})
+	msg, err := wire.Marshal(&quota.Datagram{Beat: o.Set.NodeName})
 	if err != nil {
 		return err
 	}
@@ -259,7 +276,7 @@
 }
 
 func (o *Office) listen(c net.PacketConn) {
-	buf := make([]byte, 2048)
+	buf := make([]byte, 16<<10)
 	for {
 		n, _, err := c.ReadFrom(buf)
 		if err != nil {
@@ -270,10 +287,15 @@
 			}
 			continue
 		}
-		var b beat
-		if wire.Unmarshal(buf[:n], &b) == nil {
+		var d quota.Datagram
+		if wire.Unmarshal(buf[:n], &d) != nil {
+			continue
+		}
+		if d.Grant != nil {
+			o.onGrant(d.Grant)
+		} else if d.Beat != "" {
 			o.ringMu.Lock()
-			o.watch.Heard(b.Name, time.Now())
+			o.watch.Heard(d.Beat, time.Now())
 			o.ringMu.Unlock()
 		}
 	}
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -11,6 +11,11 @@
 // before it asked.
 const Hold = 3 * time.Second
 
+// QuotaHold is how long a registrar holds its share of the tenants' quotas: longer than
+// an exchange cell takes to find a proposer after losses, since a share that can't be
+// renewed meanwhile would refuse all that tenants send.
+const QuotaHold = 8 * time.Second
+
 // Whole is every rate that the nodes share, in the unit of shares.
 const Whole = 1000
 
--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -67,30 +67,37 @@
 	clear(b.told)
 }
 
-// setConfig takes a configuration that a cell holds. The cells don't wait for it to
-// be read; of two the newer stays.
-func (b *board) setConfig(version uint64, raw []byte) {
-	b.mu.Lock()
-	n := len(b.cfg)
-	known := version == 0 || n > 0 && b.cfg[n-1].Version >= version
-	b.mu.Unlock()
-	if known {
-		return
+// setConfig takes a configuration that a cell holds and returns it if it is new. The
+// cells don't wait for it to be read; of two the newer stays.
+func (b *board) setConfig(version uint64, raw []byte) *numbering.Configuration {
+	if last := b.newest(); version == 0 || last != nil && last.Version >= version {
+		return nil
 	}
 	c, err := numbering.Decode(raw)
 	if err != nil || c.Version != version {
-		return // it was checked when it was taken
+		return nil // it was checked when it was taken
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n := len(b.cfg); n > 0 && b.cfg[n-1].Version >= version {
-		return
+		return nil
 	}
 	b.cfg = append(b.cfg, c)
 	if len(b.cfg) > keepConfigs {
 		b.cfg = append([]*numbering.Configuration(nil), b.cfg[1:]...)
 	}
 	b.changedLocked()
+	return c
+}
+
+// newest returns the newest configuration held, or nil.
+func (b *board) newest() *numbering.Configuration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := len(b.cfg); n > 0 {
+		return b.cfg[n-1]
+	}
+	return nil
 }
 
 // setList takes a list if it is newer and reports which stamp is held now.
--- /dev/null
+++ b/internal/registrar/quota.go
@@ -0,0 +1,281 @@
+package registrar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"comethold/internal/event"
+	"comethold/internal/feed"
+	"comethold/internal/numbering"
+	"comethold/internal/quota"
+	"comethold/internal/ration"
+	"comethold/internal/settings"
+	"comethold/internal/wire"
+)
+
+// Pacing of quotas. Ours; see docs/design.md.
+const (
+	quotaRenew  = ration.QuotaHold / 5
+	quotaFirst  = 150 * time.Millisecond // between claims while there is no share
+	lendNear    = 8 * time.Millisecond   // how long to wait for a lender of the own region
+	lendFar     = 45 * time.Millisecond  // and for the others
+	lenderEmpty = 150 * time.Millisecond // how long one that had nothing is not asked again
+	quotaReads  = 2                      // goroutines that read datagrams
+)
+
+// quotas is this registrar's part of the tenants' quotas: its slice of their buckets,
+// and what it lends to and borrows from the others.
+type quotas struct {
+	rules quota.Rules
+	bank  *quota.Bank
+	conn  net.PacketConn
+
+	mu     sync.Mutex
+	at     uint64 // the version whose tenants are in force
+	nextID uint64
+	asked  map[uint64]chan quota.Part
+	empty  map[lender]time.Time // who had nothing for a tenant a moment ago
+}
+
+type lender struct{ addr, tenant string }
+
+func newQuotas(rules quota.Rules) *quotas {
+	return &quotas{rules: rules, bank: quota.NewBank(), nextID: rand.Uint64(), asked: map[uint64]chan quota.Part{}, empty: map[lender]time.Time{}}
+}
+
+// setTenants takes the tenants of a configuration that is in force.
+func (q *quotas) setTenants(c *numbering.Configuration) {
+	terms := map[string]quota.Terms{}
+	for _, t := range c.Tenants {
+		if at := q.rules.TermsOf(t.RatePerS, t.BurstSize); at.Bounded() {
+			terms[t.Name] = at
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c.Version > q.at {
+		q.at = c.Version
+		q.bank.SetTenants(terms, time.Now())
+	}
+}
+
+// quotaLoop keeps the lease on this registrar's share, once there are tenants.
+func (r *Registrar) quotaLoop() {
+	fair := 0
+	for {
+		pause := quotaRenew
+		if c := r.board.newest(); c == nil || len(c.Tenants) == 0 {
+			pause = quotaFirst
+		} else if next, ok := r.renewQuota(fair); ok {
+			fair = next
+			if share, _ := r.quotas.bank.Share(time.Now()); share == 0 || int(share*ration.Whole+0.5) != fair {
+				pause = quotaFirst
+			}
+		} else {
+			pause = quotaFirst
+		}
+		select {
+		case <-time.After(time.Duration((0.8 + 0.4*rand.Float64()) * float64(pause))):
+		case <-r.quit:
+			return
+		}
+	}
+}
+
+// renewQuota claims what was fair at the last renewal; it returns what is fair now.
+// What is to be given up is not used any more from before it is said.
+func (r *Registrar) renewQuota(fair int) (int, bool) {
+	asked := time.Now()
+	b := r.quotas.bank
+	b.Shrink(float64(fair)/ration.Whole, asked)
+	share, leased := b.Share(asked)
+	ctx, cancel := context.WithTimeout(context.Background(), ration.QuotaHold/5)
+	defer cancel()
+	claim := feed.Claim{Of: feed.SharesOfQuotas, Node: r.set.NodeName, Permille: fair, Fresh: !leased}
+	v, err := r.host.attempt(ctx, ExchangeCell, "/claim", &claim, func(ctx context.Context) verdict { return r.claimHere(ctx, claim) })
+	if err != nil || !v.Grant.Granted {
+		return fair, false
+	}
+	if now := float64(v.Grant.Permille) / ration.Whole; now != share {
+		r.log.Info(event.QuotaShare).Int("permille", v.Grant.Permille).Int("fair", v.Grant.Fair).Msg("the share of the tenants' quotas moved")
+	}
+	b.Renew(float64(v.Grant.Permille)/ration.Whole, asked.Add(ration.QuotaHold), time.Now())
+	return v.Grant.Fair, true
+}
+
+// Cast answers and sends datagrams until the node ends.
+func (r *Registrar) Cast(c net.PacketConn) error {
+	r.quotas.conn = c
+	for range quotaReads {
+		go r.listen(c)
+	}
+	<-r.quit
+	return c.Close()
+}
+
+func (r *Registrar) listen(c net.PacketConn) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := c.ReadFrom(buf)
+		if err != nil {
+			select {
+			case <-r.quit:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			continue
+		}
+		var d quota.Datagram
+		if wire.Unmarshal(buf[:n], &d) != nil {
+			continue
+		}
+		switch {
+		case d.Grant != nil:
+			r.quotas.hear(d.Grant)
+		case d.Ask != nil && len(d.Ask.Wants) <= quota.MostWants:
+			r.answerAsk(d.Ask, from)
+		}
+	}
+}
+
+func (q *quotas) send(to net.Addr, d *quota.Datagram) {
+	if b, err := wire.Marshal(d); err == nil {
+		_, _ = q.conn.WriteTo(b, to)
+	}
+}
+
+// answerAsk grants out of this registrar's slice, and borrows what is missing.
+func (r *Registrar) answerAsk(a *quota.Ask, from net.Addr) {
+	q := r.quotas
+	now := time.Now()
+	g := &quota.Grant{ID: a.ID, Parts: make([]quota.Part, len(a.Wants))}
+	_, leased := q.bank.Share(now)
+	var short []int
+	for i, w := range a.Wants {
+		p := &g.Parts[i]
+		if !leased {
+			p.Unable = true
+			continue
+		}
+		if a.Lend {
+			p.Milli = int64(1000 * q.bank.Draw(w.Tenant, float64(min(w.Milli, 1000*quota.MostTokens))/1000, now))
+			continue
+		}
+		need, more := min(w.Need, quota.MostTokens), min(w.More, quota.MostTokens)
+		var back time.Duration
+		p.Granted, back = q.bank.Take(w.Tenant, max(0, need)+max(0, more), now)
+		if p.Granted < need {
+			p.BackMs = max(1, back.Milliseconds())
+			short = append(short, i)
+		}
+	}
+	reply := func() { q.send(from, &quota.Datagram{Grant: g}) }
+	if len(short) > 0 {
+		lenders := r.lenders()
+		go func() {
+			var wg sync.WaitGroup
+			for _, i := range short {
+				wg.Go(func() { r.borrow(a.Wants[i], &g.Parts[i], lenders) })
+			}
+			wg.Wait()
+			reply()
+		}()
+		return
+	}
+	reply()
+}
+
+// lenders lists the other registrars, those of the own region first.
+func (r *Registrar) lenders() (groups [2][]string) {
+	for addr, h := range r.host.live(learnerSpan) {
+		if addr == r.set.IPAddress {
+			continue
+		}
+		g := 1
+		if r.set.Region(h.Zone) == r.set.RegionName {
+			g = 0
+		}
+		groups[g] = append(groups[g], addr)
+	}
+	return groups
+}
+
+// borrow asks the others for what is missing of a tenant's tokens. What they lend
+// beyond that fills this registrar's own slice; the rest is lost.
+func (r *Registrar) borrow(w quota.Want, p *quota.Part, groups [2][]string) {
+	q := r.quotas
+	missing := float64(w.Need - p.Granted)
+	have := q.bank.Draw(w.Tenant, missing, time.Now()) // the part of a token that lies here
+	for i, patience := range []time.Duration{lendNear, lendFar} {
+		if have < missing-1e-6 {
+			have += q.borrowFrom(groups[i], r.set.PortOf(settings.Registrar), w.Tenant, missing-have, patience)
+		}
+	}
+	n := min(int(have+1e-6), w.Need-p.Granted)
+	q.bank.Put(w.Tenant, max(0, have-float64(n)), time.Now())
+	if p.Granted += n; p.Granted >= w.Need {
+		p.BackMs = 0
+	}
+}
+
+// borrowFrom asks all of these at once.
+func (q *quotas) borrowFrom(addrs []string, port int, tenant string, x float64, patience time.Duration) (got float64) {
+	ch := make(chan quota.Part, len(addrs))
+	now := time.Now()
+	sent := map[uint64]string{}
+	q.mu.Lock()
+	for _, a := range addrs {
+		if now.Before(q.empty[lender{a, tenant}]) {
+			continue
+		}
+		q.nextID++
+		q.asked[q.nextID] = ch
+		sent[q.nextID] = a
+	}
+	q.mu.Unlock()
+	for id, a := range sent {
+		q.send(&net.UDPAddr{IP: net.ParseIP(a), Port: port},
+			&quota.Datagram{Ask: &quota.Ask{ID: id, Lend: true, Wants: []quota.Want{{Tenant: tenant, Milli: int64(x*1000 + 0.999)}}}})
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+wait:
+	for range sent {
+		select {
+		case p := <-ch:
+			if got += float64(p.Milli) / 1000; got >= x {
+				break wait
+			}
+		case <-timer.C:
+			break wait
+		}
+	}
+	// Those that have not answered yet are not waited for; what they lend is lost.
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id := range sent {
+		delete(q.asked, id)
+	}
+	if got < x {
+		for _, a := range sent {
+			q.empty[lender{a, tenant}] = time.Now().Add(lenderEmpty)
+		}
+		if len(q.empty) > 4096 {
+			clear(q.empty)
+		}
+	}
+	return got
+}
+
+func (q *quotas) hear(g *quota.Grant) {
+	q.mu.Lock()
+	ch := q.asked[g.ID]
+	delete(q.asked, g.ID)
+	q.mu.Unlock()
+	if ch != nil && len(g.Parts) == 1 {
+		ch <- g.Parts[0]
+	}
+}
--- a/internal/registrar/ration.go
+++ b/internal/registrar/ration.go
@@ -18,10 +18,20 @@
 // more than what is left of the whole, and lets a share lapse only after it
 // has itself seen it unrenewed for clockSpread times as long as it is held.
 type shareKeeper struct {
+	key  string        // of the table
+	hold time.Duration // how long a share is held
+
 	mu   sync.Mutex
 	seen map[string]seenShare
 }
 
+func newShareKeepers() map[feed.Shares]*shareKeeper {
+	return map[feed.Shares]*shareKeeper{
+		feed.SharesOfRates:  {key: keyShares, hold: ration.Hold, seen: map[string]seenShare{}},
+		feed.SharesOfQuotas: {key: keyQuotas, hold: ration.QuotaHold, seen: map[string]seenShare{}},
+	}
+}
+
 type seenShare struct {
 	share feed.Share
 	at    time.Time
@@ -38,7 +48,7 @@
 		if old, ok := k.seen[node]; !ok || old.share != s { // renewed, be it in this very batch
 			k.seen[node] = seenShare{s, now}
 		}
-		if node != c.Node && now.Sub(k.seen[node].at) > clockSpread*ration.Hold {
+		if node != c.Node && now.Sub(k.seen[node].at) > clockSpread*k.hold {
 			continue
 		}
 		next[node] = s
@@ -74,7 +84,7 @@
 // so that they need not contend.
 func (r *Registrar) ration(c echo.Context) error {
 	var claim feed.Claim
-	if err := wire.Read(c.Request().Body, &claim); err != nil || claim.Node == "" || claim.Permille < 0 || claim.Permille > ration.Whole {
+	if err := wire.Read(c.Request().Body, &claim); err != nil || claim.Node == "" || claim.Permille < 0 || claim.Permille > ration.Whole || r.shares[claim.Of] == nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), ration.Hold/3)
@@ -103,7 +113,7 @@
 	return verdict{Unclear: true}
 }
 
-// claimLoop settles claims, all that wait in one transaction.
+// claimLoop settles claims, all that wait for one table in one transaction.
 func (r *Registrar) claimLoop() {
 	for {
 		var batch []*pendingClaim
@@ -114,15 +124,26 @@
 			return
 		}
 		batch = drain(r.claims, batch, cap(r.claims))
-		ctx, cancel := context.WithTimeout(context.Background(), ration.Hold/3)
-		v, grants := r.settleClaims(ctx, batch)
-		cancel()
-		for i, p := range batch {
-			if v.Committed {
-				grants[i].Granted = true
-				v.Grant = grants[i]
+		for _, of := range []feed.Shares{feed.SharesOfRates, feed.SharesOfQuotas} {
+			var mine []*pendingClaim
+			for _, p := range batch {
+				if p.claim.Of == of {
+					mine = append(mine, p)
+				}
+			}
+			if len(mine) == 0 {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), ration.Hold/3)
+			v, grants := r.settleClaims(ctx, r.shares[of], mine)
+			cancel()
+			for i, p := range mine {
+				if v.Committed {
+					grants[i].Granted = true
+					v.Grant = grants[i]
+				}
+				p.done <- v
 			}
-			p.done <- v
 		}
 	}
 }
@@ -140,24 +161,24 @@
 	return batch
 }
 
-func (r *Registrar) settleClaims(ctx context.Context, batch []*pendingClaim) (verdict, []feed.Grant) {
+func (r *Registrar) settleClaims(ctx context.Context, k *shareKeeper, batch []*pendingClaim) (verdict, []feed.Grant) {
 	for range 3 {
 		table := map[string]feed.Share{}
-		cond := cell.Condition{Key: keyShares, Absent: true}
+		cond := cell.Condition{Key: k.key, Absent: true}
 		r.host.ask(func() {
 			if m := r.host.cells[ExchangeCell]; m != nil {
-				if old, held := m.Get(keyShares); held && wire.Unmarshal(old.Bytes, &table) == nil {
-					cond = cell.Condition{Key: keyShares, Equals: old}
+				if old, held := m.Get(k.key); held && wire.Unmarshal(old.Bytes, &table) == nil {
+					cond = cell.Condition{Key: k.key, Equals: old}
 				}
 			}
 		})
 		grants := make([]feed.Grant, len(batch))
 		now := time.Now()
 		for i, p := range batch {
-			table, grants[i] = r.shares.settle(table, p.claim, now)
+			table, grants[i] = k.settle(table, p.claim, now)
 		}
 		v := r.host.proposeHere(ctx, ExchangeCell, cell.Txn{ID: newID(), Conditions: []cell.Condition{cond},
-			Ops: []cell.Op{{Kind: cell.OpPut, Key: keyShares, Value: encode(table)}}})
+			Ops: []cell.Op{{Kind: cell.OpPut, Key: k.key, Value: encode(table)}}})
 		if v.Committed || v.Busy || v.Unclear || v.NoLeader {
 			return v, grants
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -38,7 +38,8 @@
 	mover   *duty
 	recalls chan *pendingRecall
 	claims  chan *pendingClaim
-	shares  shareKeeper
+	shares  map[feed.Shares]*shareKeeper
+	quotas  *quotas
 
 	large sync.Mutex // held while a large order is read
 	young bool       // this is the first start of the whole system
@@ -91,7 +92,7 @@
 		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
 		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
-		claims: make(chan *pendingClaim, 256), shares: shareKeeper{seen: map[string]seenShare{}}}
+		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota())}
 	if set.Platform.Address != "" {
 		r.plat = directory.NewPlatform(n, set.Platform.Address)
 	}
@@ -129,7 +130,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop,
+		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
@@ -172,7 +173,9 @@
 	if what.Any(keyVersion) {
 		version, raw := configOf(m)
 		go func() {
-			r.board.setConfig(version, raw)
+			if c := r.board.setConfig(version, raw); c != nil {
+				r.quotas.setTenants(c)
+			}
 			r.wakeDesk()
 		}()
 	}
@@ -247,7 +250,7 @@
 	}))
 	e.POST("/claim", func(c echo.Context) error {
 		var claim feed.Claim
-		if err := wire.Read(c.Request().Body, &claim); err != nil {
+		if err := wire.Read(c.Request().Body, &claim); err != nil || r.shares[claim.Of] == nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
 		ctx, cancel := context.WithTimeout(c.Request().Context(), orderPatience)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -58,7 +58,7 @@
 // TestShares: whatever order claims come in and whoever dies, the shares held
 // never exceed the whole, and a dead holder's share is free in the end.
 func TestShares(t *testing.T) {
-	k := &shareKeeper{seen: map[string]seenShare{}}
+	k := newShareKeepers()[feed.SharesOfRates]
 	table := map[string]feed.Share{}
 	fair := map[string]int{}
 	now := time.Now()
--- a/internal/registrar/schema.go
+++ b/internal/registrar/schema.go
@@ -28,7 +28,8 @@
 	keyDuty    = "duty/"        // + name: dutyRecord
 	keyRecall  = "recall/"      // + log position and transaction: []feed.Recall
 	keyFloor   = "recall-floor" // recalls up to this position are forgotten
-	keyShares  = "shares"       // map of node to feed.Share
+	keyShares  = "shares"       // map of node to feed.Share, for the rates of services
+	keyQuotas  = "quota-shares" // the same for the tenants' quotas
 )
 
 // Keys of an index cell.
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -116,6 +116,7 @@
 		}
 		m.reg = reg
 		go func() { _ = reg.Run() }()
+		go func() { _ = reg.Cast(f.mesh.cast(inner(settings.Registrar))) }()
 		serve(net.JoinHostPort(m.addr, controlPort), reg.Operator())
 		serve(inner(settings.Registrar), reg.Inner())
 	}
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -171,13 +171,18 @@
 type meshCast struct {
 	m    *mesh
 	addr string
-	in   chan []byte
+	in   chan meshGram
 	done chan struct{}
 	once sync.Once
 }
 
+type meshGram struct {
+	from string
+	raw  []byte
+}
+
 func (m *mesh) cast(addr string) net.PacketConn {
-	c := &meshCast{m: m, addr: addr, in: make(chan []byte, 64), done: make(chan struct{})}
+	c := &meshCast{m: m, addr: addr, in: make(chan meshGram, 64), done: make(chan struct{})}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.casts[addr] = c
@@ -187,7 +192,7 @@
 func (c *meshCast) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case msg := <-c.in:
-		return copy(b, msg), meshAddr(""), nil
+		return copy(b, msg.raw), meshAddr(msg.from), nil
 	case <-c.done:
 		return 0, nil, net.ErrClosed
 	}
@@ -201,7 +206,7 @@
 	defer c.m.mu.Unlock()
 	if d := c.m.casts[to.String()]; d != nil && c.m.luck() >= c.m.lossy {
 		select {
-		case d.in <- append([]byte(nil), b...):
+		case d.in <- meshGram{c.addr, append([]byte(nil), b...)}:
 		default:
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"comethold/internal/numbering"
+	"comethold/internal/quota"
 
 	"github.com/BurntSushi/toml"
 	"github.com/go-playground/validator/v10"
@@ -70,6 +71,11 @@
 	RetryWindowS     float64 `toml:"retryWindowS" validate:"min=0"`
 	RetryBudgetSlack float64 `toml:"retryBudgetSlack" validate:"min=0"`
 	StaleSlackS      float64 `toml:"staleSlackS" validate:"min=0"`
+	QuotaWindowS     float64 `toml:"quotaWindowS" validate:"min=0"`
+	QuotaOvershoot   float64 `toml:"quotaOvershoot" validate:"min=0"`
+	QuotaSlack       float64 `toml:"quotaSlack" validate:"min=0"`
+	RevocationGlobal bool    `toml:"revocationGlobal"`
+	RevocationMs     int64   `toml:"revocationMs" validate:"min=0"`
 }
 
 // Tolerance says how much may be lost at one time.
@@ -158,6 +164,20 @@
 	return time.Duration(b.StaleSlackS * float64(time.Second))
 }
 
+// Quota holds the bounds of the tenants' quotas.
+func (b Bounds) Quota() quota.Rules {
+	return quota.Rules{Window: time.Duration(b.QuotaWindowS * float64(time.Second)), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
+}
+
+// Revocation is within what time a key that is taken away must be refused by every
+// node, in touch or not; 0 asks it of those in touch alone.
+func (b Bounds) Revocation() time.Duration {
+	if !b.RevocationGlobal {
+		return 0
+	}
+	return time.Duration(b.RevocationMs) * time.Millisecond
+}
+
 // Region returns the region of a zone.
 func (s *Settings) Region(zone string) string {
 	if r, ok := s.Zones[zone]; ok {
--- a/internal/switchboard/front.go
+++ b/internal/switchboard/front.go
@@ -26,6 +26,7 @@
 	office  *office.Office
 	asker   *gather.Asker
 	objects *announce.Office // nil outside content deployments
+	teller  *teller
 	log     *event.Log
 
 	leaving atomic.Bool
@@ -38,10 +39,15 @@
 	defaultHeader = 64 << 10
 	readAtMost    = 30 * time.Second // for the head of a request
 	sparePerHop   = 2 * time.Millisecond
+
+	headerCredentials = "Authorization"
+	// revocationMargin is how old the word of the majority may be that a registrar
+	// passes on, and the time that takes.
+	revocationMargin = 2500 * time.Millisecond
 )
 
 func newFront(o *office.Office, a *gather.Asker, objects *announce.Office, log *event.Log) *Front {
-	return &Front{office: o, asker: a, objects: objects, log: log, idle: map[net.Conn]time.Time{}}
+	return &Front{office: o, asker: a, objects: objects, teller: newTeller(o), log: log, idle: map[net.Conn]time.Time{}}
 }
 
 // server makes the server of the clients' port. Every request goes to serve:
@@ -114,10 +120,26 @@
 	if line == nil {
 		return f.refuse(w, http.StatusNotFound, "no route")
 	}
+	if span := f.office.Set.Bounds.Revocation(); span > 0 && plan.Keyed() && f.office.OutOfTouch(span-revocationMargin) {
+		w.Header().Set("Retry-After", "0.5")
+		return f.refuse(w, http.StatusServiceUnavailable, "no word of which keys are still good")
+	}
+	tenant, own, known := plan.Holder(line, r.Header[headerCredentials])
+	if !known {
+		w.Header().Set("WWW-Authenticate", "Token")
+		return f.refuse(w, http.StatusUnauthorized, "needs a key that is known")
+	}
 	req, status, why := f.read(w, r, plan, target)
 	if status != 0 {
 		return f.refuse(w, status, why)
 	}
+	delete(req.Header, trunk.HeaderTenant) // ours to say, whatever the client sent
+	if own {
+		delete(req.Header, headerCredentials)
+	}
+	if tenant != nil {
+		req.Header[trunk.HeaderTenant] = []string{tenant.Name}
+	}
 	left := line.Timeout
 	if v := r.Header.Get(trunk.HeaderDeadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
@@ -127,6 +149,15 @@
 		left = min(left, time.Duration(ms*float64(time.Millisecond))-sparePerHop)
 	}
 	req.Deadline = start.Add(max(left, time.Millisecond))
+	if tenant != nil {
+		if a := f.teller.admit(tenant, line.Target, left, start); !a.ok {
+			w.Header().Set("Retry-After", strconv.FormatFloat(max(a.back, time.Millisecond).Seconds(), 'f', 3, 64))
+			if a.limited {
+				return f.refuse(w, http.StatusTooManyRequests, "the tenant is at its limit")
+			}
+			return f.refuse(w, http.StatusServiceUnavailable, "no word of what the tenant may send")
+		}
+	}
 	if f.objects != nil && line.RouteKind == numbering.Cacheable && r.Method == http.MethodGet {
 		return f.answer(w, r.Method, f.object(line, req, r.Header))
 	}
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -76,6 +76,7 @@
 		select {
 		case <-t.C:
 			s.front.sweep()
+			s.front.teller.sweep(time.Now())
 			s.Frame.Sweep()
 		case <-s.Quit():
 			return nil
--- a/internal/trunk/line.go
+++ b/internal/trunk/line.go
@@ -33,6 +33,7 @@
 	HeaderStamp    = "X-Comethold-Server-Stamp"
 	HeaderNotRun   = "X-Comethold-Not-Executed"
 	HeaderInstance = "X-Comethold-Instance-Id"
+	HeaderTenant   = "X-Comethold-Tenant"
 )
 
 // Request is what is passed to a leaf: the client's bytes as they came.
