--- a/internal/feed/config_test.go
+++ b/internal/feed/config_test.go
@@ -27,6 +27,9 @@
 				}
 				c.Routes = append(c.Routes, r)
 			}
+			if rng.Intn(2) == 0 {
+				c.Tenants = append(c.Tenants, numbering.Tenant{Name: fmt.Sprint("t", i), APIKeys: []string{fmt.Sprint("k", rng.Intn(2))}, RatePerS: float64(rng.Intn(2))})
+			}
 			if rng.Intn(2) == 0 {
 				c.Services = append(c.Services, numbering.Service{Name: fmt.Sprint("s", i), ConnectionLimit: rng.Intn(2)})
 			}
@@ -35,6 +38,7 @@
 	}
 	sorted := func(c *numbering.Configuration) *numbering.Configuration {
 		sort.Slice(c.Routes, func(i, j int) bool { return c.Routes[i].PathPrefix < c.Routes[j].PathPrefix })
+		sort.Slice(c.Tenants, func(i, j int) bool { return c.Tenants[i].Name < c.Tenants[j].Name })
 		sort.Slice(c.Services, func(i, j int) bool { return c.Services[i].Name < c.Services[j].Name })
 		return c
 	}
@@ -50,7 +54,7 @@
 				t.Fatal(err)
 			}
 			made, ok := got.On(old)
-			if !ok || len(made.Routes) != len(next.Routes) || len(made.Services) != len(next.Services) {
+			if !ok || len(made.Routes) != len(next.Routes) || len(made.Services) != len(next.Services) || len(made.Tenants) != len(next.Tenants) {
 				t.Fatalf("%v: %+v of %+v, not %+v", ok, made, old, next)
 			}
 			made, next := sorted(made), sorted(next)
@@ -59,6 +63,9 @@
 					t.Fatalf("%+v, not %+v", made.Routes[i], next.Routes[i])
 				}
 			}
+			if !reflect.DeepEqual(made.Tenants, next.Tenants) && len(next.Tenants) > 0 {
+				t.Fatalf("%+v, not %+v", made.Tenants, next.Tenants)
+			}
 			if !reflect.DeepEqual(made.Services, next.Services) && len(next.Services) > 0 || made.Limits != next.Limits || made.Version != 7 {
 				t.Fatalf("%+v, not %+v", made, next)
 			}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,185 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+)
+
+// most is what the rule allows in a window.
+func (r Rules) most(rate, burst float64) float64 {
+	return (rate*r.Window.Seconds()+burst)*(1+r.Overshoot) + r.Slack
+}
+
+// TestSlidingWindows lets registrars hold shares, lend, lapse and come back, and nodes
+// draw ahead, keep tokens to the last moment and spend them at once: in no window more
+// is spent than the rule allows.
+func TestSlidingWindows(t *testing.T) {
+	rules := Rules{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	for seed := range int64(40) {
+		rng := rand.New(rand.NewSource(seed))
+		rate, burst := []float64{0.5, 3, 17, 78, 900}[seed%5], []float64{0, 3, 17, 78}[seed%4]
+		terms := rules.TermsOf(rate, burst)
+		now := time.Unix(1000, 0)
+		const banks = 6
+		all := make([]*Bank, banks)
+		for i := range all {
+			all[i] = NewBank()
+			all[i].SetTenants(map[string]Terms{"t": terms}, now)
+			all[i].Renew(1.0/banks, now.Add(time.Hour), now)
+		}
+		nodes := make([]*Reserve, 10)
+		for i := range nodes {
+			nodes[i] = NewReserve()
+		}
+		now = now.Add(30 * time.Minute) // all slices are full
+		var spent []time.Time
+		storm := false
+		for step := range 3000 {
+			now = now.Add(10 * time.Millisecond)
+			if step%400 == 0 {
+				storm = !storm // rest, then all at once
+			}
+			i := rng.Intn(banks)
+			switch rng.Intn(200) {
+			case 0: // restarted: its lease is new, what it held is gone
+				all[i] = NewBank()
+				all[i].SetTenants(map[string]Terms{"t": terms}, now)
+				all[i].Renew(1.0/banks, now.Add(time.Hour), now)
+			case 1: // lends
+				j := rng.Intn(banks)
+				all[j].Put("t", all[i].Draw("t", rng.Float64()*3, now), now)
+			}
+			for range int(rate*0.03) + 1 {
+				n := nodes[rng.Intn(len(nodes))]
+				if !storm && rng.Intn(3) > 0 {
+					got, _ := all[i].Take("t", 1+rng.Intn(3), now) // drawn ahead, kept
+					n.Add("t", got, now.Add(terms.Life), now)
+					continue
+				}
+				if ok, _ := n.Spend("t", now); ok {
+					spent = append(spent, now)
+				} else if got, _ := all[i].Take("t", 2, now); got > 0 {
+					n.Add("t", got, now.Add(terms.Life), now)
+					if n.Claim("t", now) {
+						spent = append(spent, now)
+					}
+				}
+			}
+		}
+		if len(spent) == 0 {
+			t.Fatalf("seed %d: nothing was spent", seed)
+		}
+		for i := range spent {
+			j := sort.Search(len(spent), func(j int) bool { return spent[j].Sub(spent[i]) > rules.Window })
+			if got, most := float64(j-i), rules.most(rate, burst); got > most {
+				t.Fatalf("seed %d: %v in a window, %v are allowed (rate %v, burst %v)", seed, got, most, rate, burst)
+			}
+		}
+	}
+}
+
+// TestTerms: whatever the rules, what can be spent in a window is within them, and a
+// tenant's own burst fits into the bucket where the rules leave any room.
+func TestTerms(t *testing.T) {
+	for _, r := range []Rules{{5 * time.Second, 0.1, 20}, {10 * time.Second, 0.05, 3}, {time.Second, 0.2, 40}} {
+		for _, rate := range []float64{0.2, 3, 17, 78, 2000} {
+			for _, burst := range []float64{0, 17, 4000} {
+				at := r.TermsOf(rate, burst)
+				if worst := at.Depth + rate*(r.Window+at.Life).Seconds(); worst > r.most(rate, burst)+1 {
+					t.Errorf("%+v, rate %v, burst %v: %v may be spent, %v are allowed", r, rate, burst, worst, r.most(rate, burst))
+				}
+				if at.Life > leastLife && at.Depth < burst {
+					t.Errorf("%+v, rate %v, burst %v: a bucket of %v", r, rate, burst, at.Depth)
+				}
+			}
+		}
+	}
+	if (Rules{}).TermsOf(0, 9).Bounded() {
+		t.Error("a rate of 0 sets a bound")
+	}
+}
+
+// TestSlices: a share that lapses or is given up grants nothing more of it; one that is
+// got anew begins empty; a tenant that is new finds its slice full, one that was there a
+// moment ago does not.
+func TestSlices(t *testing.T) {
+	now := time.Unix(1000, 0)
+	terms := map[string]Terms{"t": {Rate: 10, Depth: 20, Life: time.Second}}
+	b := NewBank()
+	b.SetTenants(terms, now)
+	want := func(what string, n, want int) {
+		t.Helper()
+		if got, _ := b.Take("t", n, now); got != want {
+			t.Fatalf("%s: %d tokens, not %d", what, got, want)
+		}
+	}
+	want("without a share", 5, 0)
+	b.Renew(0.5, now.Add(8*time.Second), now)
+	want("a share got just now", 5, 0)
+	now = now.Add(time.Second)
+	want("after a second", 99, 5)
+	now = now.Add(6 * time.Second)
+	b.Shrink(0.2, now)
+	want("after giving up a part", 99, 4)
+	now = now.Add(time.Second)
+	want("lapsed", 99, 0)
+	b.Renew(0.5, now.Add(time.Hour), now)
+	want("renewed after it lapsed", 99, 0)
+	now = now.Add(known)
+	want("after long", 99, 10)
+	two := map[string]Terms{"t": terms["t"], "u": terms["t"]}
+	b.SetTenants(two, now)
+	if got, _ := b.Take("u", 99, now); got != 10 {
+		t.Fatalf("a new tenant gets %d", got)
+	}
+	b.SetTenants(terms, now)
+	now = now.Add(100 * time.Millisecond)
+	b.SetTenants(two, now)
+	if got, back := b.Take("u", 99, now); got != 0 || back <= 0 {
+		t.Fatalf("a tenant that was away for a moment gets %d", got)
+	}
+	low := map[string]Terms{"t": {Rate: 1, Depth: 2, Life: time.Second}}
+	now = now.Add(known)
+	b.SetTenants(low, now)
+	want("after a lower limit", 99, 1)
+}
+
+// TestReserve: tokens are spent once, not after their life, and what is drawn ahead
+// follows what the tenant sends.
+func TestReserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewReserve()
+	at := Terms{Rate: 100, Depth: 100, Life: time.Second}
+	r.Add("t", 2, now.Add(time.Second), now)
+	for i, want := range []bool{true, true, false} {
+		if ok, _ := r.Spend("t", now); ok != want {
+			t.Fatalf("spend %d: %v", i, ok)
+		}
+	}
+	r.Add("t", 2, now.Add(time.Second), now)
+	now = now.Add(time.Second)
+	if r.Claim("t", now) {
+		t.Fatal("a token is spent after its life")
+	}
+	r.Empty("t", 300*time.Millisecond, now)
+	if ok, wait := r.Spend("t", now); ok || wait != 300*time.Millisecond {
+		t.Fatal(fmt.Sprint("nobody has a token: ", ok, wait))
+	}
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		r.Spend("t", now)
+	}
+	if n := r.Ahead("t", at, now); n < 20 || n > 40 {
+		t.Fatalf("%d are drawn ahead at 50 a second", n)
+	}
+	if n := r.Ahead("quiet", at, now); n != 0 {
+		t.Fatalf("%d are drawn ahead for one that sends nothing", n)
+	}
+	r.Sweep(now.Add(time.Minute))
+	if len(r.by) != 0 {
+		t.Fatal("idle tenants are remembered")
+	}
+}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -45,6 +46,9 @@
 	acked   map[uint64]string // version -> body that was acknowledged
 	heirs   map[uint64]uint64 // base -> version acknowledged on top of it
 	newest  uint64
+
+	tenants map[string]*fleetTenant
+	asked   int
 }
 
 type machine struct {
@@ -56,15 +60,29 @@
 	stop             func()
 }
 
+// fleetTenant is a tenant as the test knows it.
+type fleetTenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"apiKeys"`
+	Rate  float64  `json:"ratePerS"`
+	Burst float64  `json:"burstSize"`
+	ran   []time.Time
+	got   map[int]int // statuses since the last look
+	slow  time.Duration
+}
+
 const controlPort = "8729"
 
 func newFleet(t *testing.T) *fleet {
 	rng := rand.New(rand.NewSource(1))
 	f := &fleet{t: t, dir: t.TempDir(), mesh: newMesh(rng.Float64), machines: map[string]*machine{}, losses: 1,
-		listed: map[string]string{}, statusL: map[string]int{}, acked: map[uint64]string{}, heirs: map[uint64]uint64{}}
+		listed: map[string]string{}, statusL: map[string]int{}, acked: map[uint64]string{}, heirs: map[uint64]uint64{}, tenants: map[string]*fleetTenant{}}
 	go func() {
 		_ = (&http.Server{Handler: http.HandlerFunc(f.platform)}).Serve(f.mesh.listen("10.200.0.1:80"))
 	}()
+	go func() {
+		_ = (&http.Server{Handler: http.HandlerFunc(f.leaf)}).Serve(f.mesh.listen("10.9.0.1:80"))
+	}()
 	return f
 }
 
@@ -79,12 +97,80 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": all, "nextPageToken": nil})
 }
 
+// leaf is the stand-in for every leaf: it notes whose requests run.
+func (f *fleet) leaf(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	if t := f.tenants[r.Header.Get("X-Comethold-Tenant")]; t != nil {
+		t.ran = append(t.ran, time.Now())
+	}
+	f.mu.Unlock()
+	w.Header().Set("X-Comethold-Server-Stamp", "s")
+	w.Header().Set("X-Comethold-Request-Id", r.Header.Get("X-Comethold-Request-Id"))
+}
+
+// load sends so many requests of a tenant a second to these machines in turn.
+func (f *fleet) load(at []*machine, t *fleetTenant, perS float64, span time.Duration) {
+	gap := time.Duration(float64(time.Second) / perS)
+	var wg sync.WaitGroup
+	i := 0
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(gap) {
+		m := at[i%len(at)]
+		i++
+		if m.sw == nil {
+			continue
+		}
+		h := m.sw.Handler()
+		f.asked++
+		r := httptest.NewRequest(http.MethodGet, "/a", nil)
+		r.Host, r.RequestURI = "h.example", "/a"
+		r.Header.Set("X-Comethold-Request-Id", fmt.Sprint("q", f.asked))
+		r.Header.Set("X-Comethold-Deadline-Remaining", "1000")
+		r.Header.Set("Authorization", "Token "+t.Keys[0])
+		wg.Go(func() {
+			w := httptest.NewRecorder()
+			from := time.Now()
+			h.ServeHTTP(w, r)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			t.got[w.Code]++
+			if w.Code == http.StatusOK {
+				t.slow = max(t.slow, time.Since(from))
+			}
+			if (w.Code == 429 || w.Code == 503) && w.Header().Get("Retry-After") == "" {
+				f.t.Errorf("%d without word of when to come back", w.Code)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// windows checks the rule of quotas, for the limit as it is in force.
+func (f *fleet) windows(t *fleetTenant, since time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.settings(f.sorted()[0]).Bounds
+	most := (t.Rate*b.QuotaWindowS+t.Burst)*(1+b.QuotaOvershoot) + b.QuotaSlack
+	for i, from := range t.ran {
+		n := 0
+		for _, at := range t.ran[i:] {
+			if at.Sub(from) <= time.Duration(b.QuotaWindowS*float64(time.Second)) {
+				n++
+			}
+		}
+		if float64(n) > most && from.After(since) {
+			return fmt.Errorf("%d of %s ran in a window, %v are allowed", n, t.Name, most)
+		}
+	}
+	return nil
+}
+
 func (f *fleet) settings(m *machine) *settings.Settings {
 	set := &settings.Settings{NodeName: m.name, IPAddress: m.addr, AvailabilityZone: m.zone, RegionName: "r", HeartbeatMs: 1200,
 		InternalPortRange: []int{7120, 7135}, SeedNodes: f.seeds, FirstStart: !m.born,
 		Zones: map[string]string{}, Platform: settings.Platform{Address: "10.200.0.1:80", RatePerS: 50},
 		Tolerance: settings.Tolerance{MachineLosses: f.losses},
-		Bounds:    settings.Bounds{DrainMs: 3000, GracePeriodS: 6, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20}}
+		Bounds: settings.Bounds{DrainMs: 3000, GracePeriodS: 6, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20,
+			QuotaWindowS: 5, QuotaOvershoot: 0.1, QuotaSlack: 20}}
 	if f.started {
 		set.FirstStart = false
 	}
@@ -162,13 +248,18 @@
 	return out
 }
 
-func body(version uint64, mark string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2}],"services":[{"name":"s","connectionLimit":40}],"limits":{}}`, version, mark)
+func (f *fleet) body(version uint64, mark string) string {
+	tenants := ""
+	if len(f.tenants) > 0 {
+		raw, _ := json.Marshal(slices.Collect(maps.Values(f.tenants)))
+		tenants = `"tenants":` + string(raw) + `,`
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
 }
 
 // order sends a configuration to a machine, again and again on 503 if patient.
 func (f *fleet) order(m *machine, version, base uint64, mark string, patience time.Duration) int {
-	raw := body(version, mark)
+	raw := f.body(version, mark)
 	status := 0
 	for end := time.Now().Add(patience); ; time.Sleep(150 * time.Millisecond) {
 		status = f.post(m, "/Configuration.Replace", base, raw)
@@ -400,6 +491,38 @@
 			}
 		}
 		f.statusL = map[string]int{}
+	case "tenant": // tenant NAME RATE BURST [key=]: in the configurations from now on
+		t := f.tenants[c.Word(0)]
+		if t == nil {
+			t = &fleetTenant{Name: c.Word(0), Keys: []string{"key-" + c.Word(0)}, got: map[int]int{}}
+			f.tenants[t.Name] = t
+		}
+		t.Rate, _ = strconv.ParseFloat(c.Word(1), 64)
+		t.Burst, _ = strconv.ParseFloat(c.Word(2), 64)
+		if k := c.Opts["key"]; k != "" {
+			t.Keys = []string{k}
+		}
+	case "load": // load NAMES TENANT PERSECOND MS
+		perS, _ := strconv.ParseFloat(c.Word(2), 64)
+		since := time.Now()
+		f.load(f.pick(c.Word(0)), f.tenants[c.Word(1)], perS, c.Millis(3))
+		return f.windows(f.tenants[c.Word(1)], since.Add(-time.Second))
+	case "want-served": // want-served TENANT least= most= [within=]: of its requests since the last such line, in percent
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		t := f.tenants[c.Word(0)]
+		all := 0
+		for _, n := range t.got {
+			all += n
+		}
+		share, got, slow := 100*float64(t.got[http.StatusOK])/float64(all), fmt.Sprint(t.got), t.slow
+		t.got, t.slow = map[int]int{}, 0
+		if share < c.Number("least", 0) || share > c.Number("most", 100) {
+			return fmt.Errorf("%.0f%%, %s", share, got)
+		}
+		if most := time.Duration(c.Number("within", 1e6)) * time.Millisecond; slow > most {
+			return fmt.Errorf("one took %v", slow)
+		}
 	case "want-config": // want-config VERSION WITHIN: in force on every switch that runs
 		return f.until(c.Millis(1), "the version on every switch", func() bool {
 			for _, m := range f.machines {
@@ -467,6 +590,7 @@
 			wg.Wait()
 			f.mesh.down("", "")
 			f.mesh.down("10.200.0.1", "")
+			f.mesh.down("10.9.0.1", "")
 			time.Sleep(time.Minute)
 		})
 		return f
--- a/internal/scenario/plane_test.go
+++ b/internal/scenario/plane_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -45,6 +46,8 @@
 	mu       sync.Mutex
 	leafs    map[string]*leaf
 	routes   []map[string]any
+	tenants  []map[string]any
+	seen     map[string][]string // the tenants that a leaf was told, in order
 	version  uint64
 	rev      uint64
 	marked   map[string]feed.Mark
@@ -60,7 +63,7 @@
 }
 
 func newPlane(t *testing.T) *plane {
-	p := &plane{t: t, leafs: map[string]*leaf{}, marked: map[string]feed.Mark{}, statuses: map[string]int{}, ranIDs: map[string]int{}, quit: make(chan struct{})}
+	p := &plane{t: t, leafs: map[string]*leaf{}, marked: map[string]feed.Mark{}, statuses: map[string]int{}, ranIDs: map[string]int{}, seen: map[string][]string{}, quit: make(chan struct{})}
 	set := &settings.Settings{NodeName: "n1", IPAddress: "10.0.0.1", AvailabilityZone: "a", RegionName: "r",
 		InternalPortRange: []int{7000, 7010}, SeedNodes: []string{"10.0.0.2:80"},
 		Bounds: settings.Bounds{RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20}}
@@ -108,6 +111,10 @@
 		if runs := mode != "shed" && !forgot && mode != "421"; runs && !health {
 			l.runs++
 			p.ranIDs[id]++
+			p.seen[l.ID] = append(p.seen[l.ID], strings.Join(r.Header["X-Comethold-Tenant"], "+"))
+			if len(p.tenants) > 0 && strings.Contains(fmt.Sprint(r.Header), "key") {
+				p.t.Errorf("%s is shown a key: %v", l.ID, r.Header)
+			}
 		}
 		work := l.work
 		p.mu.Unlock()
@@ -173,7 +180,7 @@
 		marks[k] = v
 	}
 	p.version++
-	raw, _ := json.Marshal(map[string]any{"version": p.version, "routes": p.routes, "services": services, "limits": map[string]any{"maxBodyBytes": 64}})
+	raw, _ := json.Marshal(map[string]any{"version": p.version, "routes": p.routes, "services": services, "tenants": p.tenants, "limits": map[string]any{"maxBodyBytes": 64}})
 	cfg, _ := numbering.Decode(raw)
 	n := &feed.News{Config: feed.Whole(cfg), List: l,
 		Marks: []feed.Marks{{Index: "i1", Slot: p.slot, Drained: marks}},
@@ -196,6 +203,12 @@
 	if v := opts["deadline"]; v != "" {
 		r.Header.Set("X-Comethold-Deadline-Remaining", v)
 	}
+	if v, ok := opts["key"]; ok {
+		r.Header.Set("Authorization", strings.ReplaceAll(v, "_", " "))
+	}
+	if v := opts["claims"]; v != "" {
+		r.Header.Set("X-Comethold-Tenant", v)
+	}
 	w := httptest.NewRecorder()
 	start := time.Now()
 	p.sw.Handler().ServeHTTP(w, r)
@@ -244,7 +257,23 @@
 		} else {
 			r["service"] = c.Word(3)
 		}
+		if c.Opts["public"] != "" {
+			r["public"] = true
+		}
 		p.routes = append(p.routes, r)
+	case "tenant": // tenant NAME KEY,... : or its keys from now on; no keys: it is gone
+		p.tenants = slices.DeleteFunc(p.tenants, func(t map[string]any) bool { return t["name"] == c.Word(0) })
+		if c.Word(1) != "" {
+			p.tenants = append(p.tenants, map[string]any{"name": c.Word(0), "apiKeys": strings.Split(c.Word(1), ",")})
+		}
+	case "want-tenants": // want-tenants LEAF NAME,... : what it was told since the last such line; - for none
+		p.mu.Lock()
+		got := strings.Join(p.seen[c.Word(0)], ",")
+		p.seen[c.Word(0)] = nil
+		p.mu.Unlock()
+		if got != strings.ReplaceAll(c.Word(1), "-", "") {
+			return fmt.Errorf("it was told %q", got)
+		}
 	case "mark":
 		p.marked[c.Word(0)] = feed.Mark{Why: feed.WhySilent}
 	case "unmark":
@@ -253,7 +282,7 @@
 		p.push()
 	case "run":
 		time.Sleep(c.Millis(0))
-	case "ask": // ask HOST PATH [n= post= body= gap= deadline= noid=]: one after the other
+	case "ask": // ask HOST PATH [n= post= body= gap= deadline= noid= key=Token_K claims=]: one after the other
 		method := "GET"
 		if c.Opts["post"] != "" {
 			method = "POST"
