--- a/cmd/comethold/command.go
+++ b/cmd/comethold/command.go
@@ -59,6 +59,7 @@
 			Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "comethold", version) },
 		},
 	)
+	root.AddCommand(operatorCommands()...)
 	return root
 }
 
--- /dev/null
+++ b/cmd/comethold/operate.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"comethold/internal/settings"
+
+	"github.com/spf13/cobra"
+)
+
+const operatorPatience = 5 * time.Second
+
+// controlAt is the address of a registrar: the one named, or that of this machine's
+// settings.
+func controlAt(at string) (string, error) {
+	if at != "" {
+		return at, nil
+	}
+	path, err := settings.Path()
+	if err != nil {
+		return "", fmt.Errorf("name a registrar with --at: %w", err)
+	}
+	set, err := settings.Load(path)
+	if err != nil {
+		return "", err
+	}
+	if set.Listen.ControlPlane == "" {
+		return "", fmt.Errorf("name a registrar with --at: the settings name no listenAddresses.controlPlane")
+	}
+	return set.Listen.ControlPlane, nil
+}
+
+// operate makes one call to a registrar and prints the answer.
+func operate(c *cobra.Command, at, method, path string, in any) error {
+	addr, err := controlAt(at)
+	if err != nil {
+		return err
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(c.Context(), method, "http://"+addr+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{Timeout: operatorPatience}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(raw))
+	}
+	var out bytes.Buffer
+	if json.Indent(&out, raw, "", "  ") != nil {
+		out.Reset()
+		out.Write(raw)
+	}
+	fmt.Fprintln(c.OutOrStdout(), out.String())
+	return nil
+}
+
+func operatorCommands() []*cobra.Command {
+	var at string
+	notices := &cobra.Command{
+		Use:   "notices",
+		Short: "Show the outbox's backlog, what is quarantined and what was redriven",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return operate(c, at, http.MethodGet, "/Notices.Read", nil)
+		},
+	}
+	var order struct {
+		EventID       string `json:"eventId"`
+		Operator      string `json:"operator"`
+		CorrelationID string `json:"correlationId"`
+		Action        string `json:"action"`
+	}
+	redrive := &cobra.Command{
+		Use:   "redrive EVENT",
+		Short: "Have a notice sent once more, or close its case",
+		Long:  "Have a notice sent once more, or close its case. Who did it, for what case and what\nis recorded; the notice itself is never changed.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			order.EventID = args[0]
+			return operate(c, at, http.MethodPost, "/Notices.Redrive", order)
+		},
+	}
+	f := redrive.Flags()
+	f.StringVar(&order.Operator, "operator", "", "who orders it")
+	f.StringVar(&order.CorrelationID, "correlation", "", "the case that it belongs to")
+	f.StringVar(&order.Action, "action", "resend", "resend or close")
+	for _, c := range []*cobra.Command{notices, redrive} {
+		c.Flags().StringVar(&at, "at", "", "the control address of a registrar (this machine's, if absent)")
+	}
+	return []*cobra.Command{notices, redrive}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,6 +3,8 @@
 // part carries a version, and a holder only ever moves to a higher one.
 package feed
 
+import "comethold/internal/notice"
+
 // Stamp orders leaf lists: the term of the duty that made it, then its count.
 type Stamp struct {
 	Term uint64 `cbor:"1,keyasint,omitempty"`
@@ -109,6 +111,24 @@
 	Reset bool     `cbor:"3,keyasint,omitempty"`
 }
 
+// Notice is a notice of the outbox, with the position of its row in the exchange cell's
+// log.
+type Notice struct {
+	Pos    uint64        `cbor:"1,keyasint"`
+	Notice notice.Notice `cbor:"2,keyasint"`
+}
+
+// Notices are those after the position that the caller holds. Reset says that there are
+// none to tell from there: what the caller is given of everything else is the state
+// after all of them up to Pos.
+type Notices struct {
+	Pos   uint64   `cbor:"1,keyasint"`
+	All   []Notice `cbor:"2,keyasint,omitempty"`
+	Reset bool     `cbor:"3,keyasint,omitempty"`
+	// Base, with Reset, holds the newest versions of the aggregates at Pos.
+	Base map[string]uint64 `cbor:"4,keyasint,omitempty"`
+}
+
 // Share is a node's leased part of every rate that all nodes share, in
 // thousandths.
 type Share struct {
@@ -152,6 +172,7 @@
 	Nodes    uint64            `cbor:"4,keyasint,omitempty"`
 	Switches int               `cbor:"5,keyasint,omitempty"`
 	Recall   uint64            `cbor:"6,keyasint,omitempty"`
+	Notice   uint64            `cbor:"7,keyasint,omitempty"`
 }
 
 // Report is what a switch noticed about a leaf.
@@ -182,9 +203,10 @@
 	// Gone names indexes that are no more.
 	Gone    []string `cbor:"6,keyasint,omitempty"`
 	Recalls *Recalls `cbor:"7,keyasint,omitempty"`
+	Notices *Notices `cbor:"8,keyasint,omitempty"`
 }
 
 // Empty reports whether there is no news.
 func (n *News) Empty() bool {
-	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0 && n.Recalls == nil
+	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0 && n.Recalls == nil && n.Notices == nil
 }
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -89,6 +89,9 @@
 // OnRecalls: see OnPlan.
 func (o *Office) OnRecalls(f func(*feed.Recalls)) { o.state.onRecalls = f }
 
+// OnChanged names what is told of tenants whose keys or limits were changed; see OnPlan.
+func (o *Office) OnChanged(f func([]string)) { o.state.onChanged = f }
+
 // OnGrant names what takes grants of tokens; see OnPlan.
 func (o *Office) OnGrant(f func(*quota.Grant)) { o.onGrant = f }
 
--- a/internal/office/state.go
+++ b/internal/office/state.go
@@ -10,9 +10,11 @@
 
 	"comethold/internal/event"
 	"comethold/internal/feed"
+	"comethold/internal/notice"
 	"comethold/internal/numbering"
 	"comethold/internal/toll"
 	"comethold/internal/trunk"
+	"comethold/internal/wire"
 )
 
 // state is what the feed has told this node. Every part only moves forward.
@@ -38,11 +40,15 @@
 	counted  []headcount
 	recalls  []feed.Recall // the newest, in order
 	floor    uint64        // recalls up to here are not in recalls
+	inbox    *notice.Inbox
+	noticed  uint64        // position of the newest notice that was told
+	deferred []feed.Notice // those whose prerequisite is not here yet
 
 	onNodes   func([]feed.Node)
 	onPlan    func(*numbering.Plan)
 	onRecalls func(*feed.Recalls)
-	users     func() int // nodes that share the leafs with this one, if not all switches
+	onChanged func(tenants []string) // their keys or limits are others now
+	users     func() int             // nodes that share the leafs with this one, if not all switches
 }
 
 // headcount is how many nodes shared the limits at one time.
@@ -61,13 +67,13 @@
 func newState(log *event.Log, f *trunk.Frame, t *toll.Toll) *state {
 	return &state{log: log, frame: f, toll: t, marks: map[string]feed.Marks{}, leafs: map[string]feed.Leaf{},
 		nodes: map[string]feed.Node{}, onNodes: func([]feed.Node) {}, onPlan: func(*numbering.Plan) {},
-		onRecalls: func(*feed.Recalls) {}}
+		onRecalls: func(*feed.Recalls) {}, inbox: notice.NewInbox(), onChanged: func([]string) {}}
 }
 
 func (s *state) have() feed.Have {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := feed.Have{Nodes: s.slot, Switches: s.switches, Recall: s.pos.Load(), Marks: map[string]uint64{}}
+	h := feed.Have{Nodes: s.slot, Switches: s.switches, Recall: s.pos.Load(), Notice: s.noticed, Marks: map[string]uint64{}}
 	if p := s.plan.Load(); p != nil {
 		h.Config = p.Version
 	}
@@ -123,6 +129,7 @@
 		}
 		s.onNodes(all)
 	}
+	s.takeNotices(n.Notices)
 	s.divide(time.Now())
 	if !n.Stale {
 		s.current.Store(true)
@@ -130,6 +137,51 @@
 	}
 }
 
+// keepDeferred bounds the notices that wait for their prerequisite.
+const keepDeferred = 128
+
+// takeNotices decides notices against the inbox before anything changes by them. It runs
+// after the rest of the news: the state that a notice speaks of is its prerequisite.
+func (s *state) takeNotices(n *feed.Notices) {
+	have := map[string]uint64{notice.Purges: s.pos.Load()}
+	if p := s.plan.Load(); p != nil {
+		have[notice.Configuration] = p.Version
+	}
+	waiting := s.deferred
+	if n != nil && n.Pos > s.noticed {
+		if n.Reset {
+			waiting = nil
+			for aggregate, version := range n.Base {
+				s.inbox.Base(aggregate, version)
+			}
+		}
+		waiting = append(waiting, n.All...)
+		s.noticed = n.Pos
+	}
+	s.deferred = nil
+	for i := range waiting {
+		w := &waiting[i]
+		if w.Notice.Version <= have[w.Notice.Aggregate] {
+			// Notices come in order: one that is missing before this one will not come,
+			// but what it told is in the state that is here.
+			s.inbox.Base(w.Notice.Aggregate, w.Notice.After)
+		}
+		switch d, why := s.inbox.Decide(&w.Notice, have[w.Notice.Aggregate]); d {
+		case notice.Applied:
+			var c notice.Changed
+			if w.Notice.Aggregate == notice.Configuration && wire.Unmarshal(w.Notice.Payload, &c) == nil {
+				s.onChanged(c.Tenants)
+			}
+		case notice.Deferred:
+			if len(s.deferred) < keepDeferred {
+				s.deferred = append(s.deferred, *w)
+			}
+		case notice.Quarantined:
+			s.log.Error(event.NoticeQuarantined).Str("eventId", w.Notice.EventID).Err(why).Msg("a notice is quarantined")
+		}
+	}
+}
+
 // takeRecalls notes purges and has copies dropped before the position moves:
 // who reads the position finds their effect.
 func (s *state) takeRecalls(r *feed.Recalls) {
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -107,6 +107,18 @@
 	r.account(tenant, now).empty = now.Add(back)
 }
 
+// Drop gives up the tokens of tenants whose limits were changed: they were drawn under
+// the old ones.
+func (r *Reserve) Drop(tenants []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range tenants {
+		if a := r.by[name]; a != nil {
+			a.lots, a.empty = nil, time.Time{}
+		}
+	}
+}
+
 // Sweep forgets tenants that have sent nothing for long.
 func (r *Reserve) Sweep(now time.Time) {
 	r.mu.Lock()
--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -33,6 +33,10 @@
 	pos     uint64        // of the newest recall
 	floor   uint64        // recalls up to here are forgotten
 
+	notices     []feed.Notice     // in order; never changed, only replaced
+	noticesFrom uint64            // those up to here are not told any more
+	noticeBase  map[string]uint64 // by aggregate: the newest version told
+
 	// told holds answers by what their callers have: after a change all of a zone
 	// lack the same, so it is worked out, encoded and compressed once.
 	told map[string]*told
@@ -58,7 +62,7 @@
 )
 
 func newBoard() *board {
-	return &board{news: make(chan struct{}), keep: func(*feed.List) {}, marks: map[string]feed.Marks{}, told: map[string]*told{}}
+	return &board{news: make(chan struct{}), keep: func(*feed.List) {}, marks: map[string]feed.Marks{}, told: map[string]*told{}, noticeBase: map[string]uint64{}}
 }
 
 func (b *board) changedLocked() {
@@ -67,27 +71,27 @@
 	clear(b.told)
 }
 
-// setConfig takes a configuration that a cell holds and returns it if it is new. The
+// setConfig takes a configuration that a cell holds and reports whether it is new. The
 // cells don't wait for it to be read; of two the newer stays.
-func (b *board) setConfig(version uint64, raw []byte) *numbering.Configuration {
+func (b *board) setConfig(version uint64, raw []byte) bool {
 	if last := b.newest(); version == 0 || last != nil && last.Version >= version {
-		return nil
+		return false
 	}
 	c, err := numbering.Decode(raw)
 	if err != nil || c.Version != version {
-		return nil // it was checked when it was taken
+		return false // it was checked when it was taken
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n := len(b.cfg); n > 0 && b.cfg[n-1].Version >= version {
-		return nil
+		return false
 	}
 	b.cfg = append(b.cfg, c)
 	if len(b.cfg) > keepConfigs {
 		b.cfg = append([]*numbering.Configuration(nil), b.cfg[1:]...)
 	}
 	b.changedLocked()
-	return c
+	return true
 }
 
 // newest returns the newest configuration held, or nil.
@@ -230,7 +234,7 @@
 // callerKey is the same for callers that lack the same.
 func callerKey(call *feed.Call, stale bool) string {
 	h := &call.Have
-	k := fmt.Sprint(stale, call.Node.Zone, h.Config, h.List, h.Nodes, h.Switches, h.Recall)
+	k := fmt.Sprint(stale, call.Node.Zone, h.Config, h.List, h.Nodes, h.Switches, h.Recall, h.Notice)
 	for _, ix := range slices.Sorted(maps.Keys(h.Marks)) {
 		k += fmt.Sprint(" ", ix, "=", h.Marks[ix])
 	}
@@ -275,5 +279,6 @@
 		}
 	}
 	b.recallNews(h, &n)
+	b.noticeNews(h, &n)
 	return n
 }
--- /dev/null
+++ b/internal/registrar/operate.go
@@ -0,0 +1,132 @@
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"comethold/internal/cell"
+	"comethold/internal/event"
+	"comethold/internal/notice"
+	"comethold/internal/wire"
+
+	"github.com/labstack/echo/v4"
+)
+
+// NoticesView is what an operator sees of the outbox and of what was quarantined.
+type NoticesView struct {
+	Backlog    int               `json:"backlog"` // rows that are not published
+	Rows       []RowView         `json:"rows"`    // those of the backlog, oldest first
+	Quarantine []QuarantinedView `json:"quarantine"`
+	Redrives   []redrive         `json:"redrives"` // oldest first
+	// Decided is up to which version this registrar has applied each aggregate.
+	Decided map[string]uint64 `json:"decided"`
+}
+
+// RowView is a row of the outbox.
+type RowView struct {
+	EventID   string `json:"eventId"`
+	Aggregate string `json:"aggregate"`
+	Version   uint64 `json:"version"`
+	State     string `json:"state"`
+	Tries     int    `json:"tries"`
+	Owner     string `json:"owner,omitempty"`
+}
+
+// QuarantinedView is a notice or order that contradicts what was.
+type QuarantinedView struct {
+	EventID string `json:"eventId"`
+	Version uint64 `json:"version"`
+	Why     string `json:"why"`
+	By      string `json:"by"`
+}
+
+// viewNotices reads the tables of the exchange cell.
+func viewNotices(m *cell.Member) NoticesView {
+	v := NoticesView{Rows: []RowView{}, Quarantine: []QuarantinedView{}, Redrives: []redrive{}, Decided: map[string]uint64{}}
+	for _, k := range outboxOf(m) {
+		if k.row.State == notice.Published {
+			continue
+		}
+		n := &k.row.Notice
+		v.Rows = append(v.Rows, RowView{n.EventID, n.Aggregate, n.Version, k.row.State.String(), k.row.Tries, k.row.Owner})
+	}
+	v.Backlog = len(v.Rows)
+	for _, k := range m.KeysFrom(keyQuarantine, keyQuarantine) {
+		var q quarantined
+		if raw, _ := m.Get(k); wire.Unmarshal(raw.Bytes, &q) == nil {
+			v.Quarantine = append(v.Quarantine, QuarantinedView{q.Notice.EventID, q.Notice.Version, q.Why, q.By})
+		}
+	}
+	for _, k := range m.KeysFrom(keyRedrive, keyRedrive) {
+		var d redrive
+		if raw, _ := m.Get(k); wire.Unmarshal(raw.Bytes, &d) == nil {
+			v.Redrives = append(v.Redrives, d)
+		}
+	}
+	return v
+}
+
+// readNotices answers with the outbox's backlog, the quarantine and the redrives.
+func (r *Registrar) readNotices(c echo.Context) error {
+	var v NoticesView
+	found := false
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			v, found = viewNotices(m), true
+		}
+	})
+	if !found {
+		return refuse(c, http.StatusServiceUnavailable, translate(ErrNoProposer))
+	}
+	r.notices.mu.Lock()
+	for a, at := range r.notices.inbox.Done {
+		v.Decided[a] = at
+	}
+	r.notices.mu.Unlock()
+	return c.JSON(http.StatusOK, v)
+}
+
+// redriveNotice has a notice sent once more, or closes its case.
+func (r *Registrar) redriveNotice(c echo.Context) error {
+	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRecallBytes))
+	var d redrive
+	if err == nil {
+		err = json.Unmarshal(raw, &d)
+	}
+	if err == nil {
+		err = d.check()
+	}
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), orderPatience)
+	defer cancel()
+	for range 3 {
+		var t cell.Txn
+		known := false
+		r.host.ask(func() {
+			if m := r.host.cells[ExchangeCell]; m != nil {
+				t, known = redriveTxn(m, &d)
+			}
+		})
+		if !known {
+			return refuse(c, http.StatusNotFound, "no notice and no case has this eventId")
+		}
+		ok, err := r.host.Propose(ctx, ExchangeCell, t)
+		if err != nil {
+			return refuse(c, http.StatusServiceUnavailable, translate(err))
+		}
+		if ok {
+			r.log.Info(event.NoticeRedriven).Str("eventId", d.EventID).Str("operator", d.Operator).Str("correlationId", d.CorrelationID).Str("action", d.Action).Msg("a notice was redriven")
+			return c.JSON(http.StatusOK, d)
+		}
+		select { // the row moved meanwhile
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return refuse(c, http.StatusServiceUnavailable, translate(ErrBusy))
+}
--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -1,9 +1,9 @@
 package registrar
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +11,7 @@
 
 	"comethold/internal/cell"
 	"comethold/internal/event"
+	"comethold/internal/notice"
 	"comethold/internal/numbering"
 
 	"github.com/labstack/echo/v4"
@@ -115,34 +116,44 @@
 // take has the change decided. Only a transaction that the cell committed, on
 // this call or an earlier one, is acknowledged.
 func (r *Registrar) take(ctx context.Context, o *order) (int, string) {
-	sum := digest(o.raw)
+	sum := notice.Digest(o.raw)
+	key := receiptKey(o.version, o.base)
 	if r.growing() {
 		return http.StatusServiceUnavailable, "the control plane is still being founded"
 	}
 	for try := range 3 {
 		var t cell.Txn
 		var current uint64
-		var taken cell.Value
+		var receipt *notice.Receipt
 		var old []byte
 		r.host.ask(func() {
 			if m := r.host.cells[ExchangeCell]; m != nil {
 				current, old = configOf(m)
-				taken, _ = m.Get(takenKey(o.version))
+				receipt = receiptOf(m, key)
 			}
 		})
-		if taken.Bytes != nil && bytes.Equal(taken.Bytes, sum) {
-			// Applied here, so chosen by a majority: taken already.
-			return http.StatusOK, ""
+		switch receipt.Look(sum) {
+		case notice.Repeated: // applied here, so chosen by a majority: taken already
+			return receipt.Status, ""
+		case notice.Conflicting:
+			go r.quarantineOrder(o, sum)
+			return http.StatusPreconditionFailed, "version " + strconv.FormatUint(o.version, 10) + " was taken with other content"
 		}
 		if current == o.base && o.version > current {
 			cfg, raw, err := o.make(old)
+			changed := []string(nil)
 			if err != nil {
 				return http.StatusBadRequest, err.Error()
 			}
+			if last := r.board.newest(); last != nil && last.Version == current {
+				changed = changedTenants(last, cfg)
+			} else {
+				changed = changedTenants(nil, cfg) // any may have changed
+			}
 			r.host.ask(func() {
 				if m := r.host.cells[ExchangeCell]; m != nil {
 					if now, _ := configOf(m); now == current {
-						t = configTxn(m, cfg, raw, sum)
+						t = configTxn(m, cfg, raw, sum, changed)
 					}
 				}
 			})
@@ -191,6 +202,16 @@
 	return yes
 }
 
+// quarantineOrder notes an order that has the key of one that was taken, and other
+// content. It is kept apart by its fingerprint; nothing of it comes into force.
+func (r *Registrar) quarantineOrder(o *order, sum []byte) {
+	r.log.Error(event.OrderConflict).Uint64("version", o.version).Uint64("base", o.base).Hex("fingerprint", sum).Msg("an order contradicts the one that was taken under its key")
+	n, err := notice.New(fmt.Sprintf("order/%d/%d/%x", o.version, o.base, sum), notice.Configuration, o.version, o.base, nil)
+	if err == nil {
+		r.quarantine(&n, notice.ErrConflict.Error())
+	}
+}
+
 func translate(err error) string {
 	switch {
 	case errors.Is(err, ErrBusy):
--- a/internal/registrar/recall.go
+++ b/internal/registrar/recall.go
@@ -8,13 +8,13 @@
 	"math/big"
 	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"time"
 
 	"comethold/internal/cell"
 	"comethold/internal/event"
 	"comethold/internal/feed"
+	"comethold/internal/notice"
 	"comethold/internal/wire"
 
 	"github.com/labstack/echo/v4"
@@ -119,9 +119,15 @@
 // commitRecalls has purges decided. One decided twice does no harm, so what is
 // unclear is simply proposed again.
 func (r *Registrar) commitRecalls(ctx context.Context, list []feed.Recall) error {
+	// Its version and event id are those of its position; see rowAt.
+	n, err := notice.New("", notice.Purges, 0, 0, len(list))
+	if err != nil {
+		return err
+	}
 	for {
-		ok, err := r.host.Propose(ctx, ExchangeCell, cell.Txn{
-			Ops: []cell.Op{{Kind: cell.OpAppend, Key: keyRecall, Value: encode(list)}}})
+		ok, err := r.host.Propose(ctx, ExchangeCell, cell.Txn{Ops: []cell.Op{
+			{Kind: cell.OpAppend, Key: keyRecall, Value: encode(list)},
+			{Kind: cell.OpAppend, Key: keyOutbox, Value: encode(notice.Row{Notice: n})}}})
 		if ok && err == nil {
 			r.log.Info(event.PurgeTaken).Int("recalls", len(list)).Msg("purges taken")
 			return nil
@@ -137,12 +143,6 @@
 	}
 }
 
-func recallPos(key string) uint64 {
-	at, _, _ := strings.Cut(strings.TrimPrefix(key, keyRecall), "/")
-	n, _ := strconv.ParseUint(at, 10, 64)
-	return n
-}
-
 // setRecalls takes the recalls of the exchange cell. Those already held are
 // not decoded again.
 func (b *board) setRecalls(m *cell.Member) {
@@ -166,7 +166,7 @@
 		if wire.Unmarshal(v.Bytes, &list) != nil {
 			continue
 		}
-		pos := recallPos(k)
+		pos := slotOf(k, keyRecall)
 		for _, rec := range list {
 			rec.Pos = pos
 			b.recalls = append(b.recalls, rec)
@@ -221,7 +221,7 @@
 		}
 		if now.Sub(first[k]) > keep {
 			t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: k})
-			floor = recallPos(k)
+			floor = slotOf(k, keyRecall)
 		}
 	}
 	for k := range first {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -14,6 +14,7 @@
 	"comethold/internal/directory"
 	"comethold/internal/event"
 	"comethold/internal/feed"
+	"comethold/internal/notice"
 	"comethold/internal/settings"
 	"comethold/internal/vault"
 	"comethold/internal/wire"
@@ -40,6 +41,7 @@
 	claims  chan *pendingClaim
 	shares  map[feed.Shares]*shareKeeper
 	quotas  *quotas
+	notices *noticeBox
 
 	large sync.Mutex // held while a large order is read
 	young bool       // this is the first start of the whole system
@@ -92,7 +94,7 @@
 		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
 		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
-		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota())}
+		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota()), notices: newNoticeBox(v.Node(inboxNote))}
 	if set.Platform.Address != "" {
 		r.plat = directory.NewPlatform(n, set.Platform.Address)
 	}
@@ -130,7 +132,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop,
+		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.noticeLoop, r.publishLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
@@ -173,8 +175,8 @@
 	if what.Any(keyVersion) {
 		version, raw := configOf(m)
 		go func() {
-			if c := r.board.setConfig(version, raw); c != nil {
-				r.quotas.setTenants(c)
+			if r.board.setConfig(version, raw) {
+				r.wakeNotices()
 			}
 			r.wakeDesk()
 		}()
@@ -182,6 +184,9 @@
 	if what.Any(keyRecall) || what.Any(keyFloor) {
 		r.board.setRecalls(m)
 	}
+	if what.Any(keyOutbox) {
+		r.wakeNotices()
+	}
 	if what.Any(keyNode) {
 		r.board.setNodes(m.Applied(), nodesOf(m))
 		wake = true
@@ -217,6 +222,8 @@
 	e.POST("/Configuration.Amend", r.amend)
 	e.POST("/purge", r.purge)
 	e.GET("/Configuration.Read", r.read)
+	e.GET("/Notices.Read", r.readNotices)
+	e.POST("/Notices.Redrive", r.redriveNotice)
 	return e
 }
 
@@ -282,6 +289,13 @@
 		}
 		return c.NoContent(http.StatusNotFound)
 	})
+	e.POST("/notices", func(c echo.Context) error {
+		var list []notice.Notice
+		if err := wire.Read(c.Request().Body, &list); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		return answer(c, r.noticesHeard(list))
+	})
 	e.POST("/feed", r.feed)
 	e.POST("/ration", r.ration)
 	return e
--- a/internal/registrar/schema.go
+++ b/internal/registrar/schema.go
@@ -1,13 +1,14 @@
 package registrar
 
 import (
-	"crypto/sha256"
 	"fmt"
+	"net/http"
 	"sort"
 	"strings"
 
 	"comethold/internal/cell"
 	"comethold/internal/feed"
+	"comethold/internal/notice"
 	"comethold/internal/numbering"
 	"comethold/internal/wire"
 )
@@ -21,15 +22,19 @@
 const (
 	keyVersion = "config/version"
 	keyRaw     = "config/raw"
-	keyTaken   = "taken/" // + version: the digest of what was taken under it
-	keyNode    = "node/"  // + name: feed.Node
-	keyIndex   = "index/" // + name: indexRecord
+	keyReceipt = "receipt/" // + idempotency key: notice.Receipt
+	keyNode    = "node/"    // + name: feed.Node
+	keyIndex   = "index/"   // + name: indexRecord
 	keyNextID  = "index-next"
 	keyDuty    = "duty/"        // + name: dutyRecord
 	keyRecall  = "recall/"      // + log position and transaction: []feed.Recall
 	keyFloor   = "recall-floor" // recalls up to this position are forgotten
 	keyShares  = "shares"       // map of node to feed.Share, for the rates of services
 	keyQuotas  = "quota-shares" // the same for the tenants' quotas
+
+	keyOutbox     = "outbox/"     // + log position and transaction: notice.Row
+	keyQuarantine = "quarantine/" // + event id: quarantined
+	keyRedrive    = "redrive/"    // + log position and transaction: redrive
 )
 
 // Keys of an index cell.
@@ -38,9 +43,6 @@
 	keyMark = "mark/" // + leaf: feed.Mark
 )
 
-// keepTaken is how many versions are remembered for calls that are sent again.
-const keepTaken = 64
-
 type indexRecord struct {
 	Seats  []cell.Seat `cbor:"1,keyasint"` // the founders of its cell
 	Routes []string    `cbor:"2,keyasint"`
@@ -53,9 +55,20 @@
 	Routes  []string `cbor:"3,keyasint"`
 }
 
-func takenKey(version uint64) string { return fmt.Sprintf("%s%020d", keyTaken, version) }
+// receiptKey is the idempotency key of an order for a configuration: the operator sends
+// none, so it is worked out from the version and the one that it builds on.
+func receiptKey(version, base uint64) string {
+	return fmt.Sprintf("%s%s/%020d/%d", keyReceipt, notice.Configuration, version, base)
+}
 
-func digest(raw []byte) []byte { s := sha256.Sum256(raw); return s[:16] }
+// receiptOf returns the receipt under a key, or nil.
+func receiptOf(m *cell.Member, key string) *notice.Receipt {
+	var r notice.Receipt
+	if v, ok := m.Get(key); ok && wire.Unmarshal(v.Bytes, &r) == nil {
+		return &r
+	}
+	return nil
+}
 
 func encode(v any) cell.Value {
 	b, err := wire.Marshal(v)
@@ -74,13 +87,20 @@
 	return v.Int.Uint64(), raw.Bytes
 }
 
-// configTxn makes the transaction that puts a configuration on top of base. sum
-// is the digest of the order as it was sent.
-func configTxn(m *cell.Member, c *numbering.Configuration, raw, sum []byte) cell.Txn {
+// configTxn makes the transaction that puts a configuration on top of base: the receipt
+// of the order, the change and the notice of it become durable together, or none does.
+// sum is the fingerprint of the order as it was sent.
+func configTxn(m *cell.Member, c *numbering.Configuration, raw, sum []byte, changed []string) cell.Txn {
 	base, old := configOf(m)
+	key := receiptKey(c.Version, base)
+	n, err := notice.New(fmt.Sprintf("%s/%d", notice.Configuration, c.Version), notice.Configuration, c.Version, base, notice.Changed{Tenants: changed})
+	if err != nil {
+		panic(err) // our own records always encode
+	}
 	t := cell.Txn{Ops: []cell.Op{
+		{Kind: cell.OpPut, Key: key, Value: encode(notice.Receipt{Fingerprint: sum, Status: http.StatusOK, Version: c.Version})},
 		{Kind: cell.OpPut, Key: keyVersion, Value: cell.Int(int64(c.Version))},
-		{Kind: cell.OpPut, Key: takenKey(c.Version), Value: cell.Bytes(sum)},
+		{Kind: cell.OpAppend, Key: keyOutbox, Value: encode(notice.Row{Notice: n, State: notice.Pending})},
 	}}
 	if base == 0 {
 		t.Conditions = []cell.Condition{{Key: keyVersion, Absent: true}}
@@ -89,14 +109,9 @@
 		t.Conditions = []cell.Condition{{Key: keyVersion, Equals: cell.Int(int64(base))}}
 		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPatch, Key: keyRaw, Value: cell.Bytes(cell.MakePatch(old, raw))})
 	}
-	var taken []string
-	for _, k := range m.Keys() {
-		if strings.HasPrefix(k, keyTaken) {
-			taken = append(taken, k)
-		}
-	}
-	for i := 0; i+keepTaken <= len(taken); i++ {
-		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: taken[i]})
+	receipts := m.KeysFrom(keyReceipt, keyReceipt)
+	for i := 0; i+keepReceipts <= len(receipts); i++ {
+		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: receipts[i]})
 	}
 	return t
 }
--- /dev/null
+++ b/internal/scale/scalerun/main.go
@@ -0,0 +1,56 @@
+// Command scalerun measures a system of chosen size on this machine; see
+// docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"comethold/internal/scale"
+)
+
+func main() {
+	s := scale.Size{}
+	flag.IntVar(&s.Hollow, "hollow", 160, "hollow switches, all in this process")
+	flag.IntVar(&s.Real, "real", 2, "switches that are processes")
+	flag.IntVar(&s.Registrars, "registrars", 6, "registrars, each a process")
+	flag.IntVar(&s.Zones, "zones", 6, "zones")
+	flag.IntVar(&s.Leafs, "leafs", 875, "leafs that the platform lists, six to a shard")
+	flag.IntVar(&s.Routes, "routes", 200, "further routes")
+	flag.IntVar(&s.Tenants, "tenants", 100, "tenants")
+	flag.Float64Var(&s.PerNode, "per-node", 0, "requests of tenants a second at each hollow switch")
+	flag.IntVar(&s.Changes, "changes", 5, "configuration changes to measure")
+	flag.DurationVar(&s.Rest, "rest", 10*time.Second, "how long each state is measured")
+	binary := flag.String("binary", "target/comethold", "the program")
+	flag.Parse()
+	if err := run(s, *binary); err != nil {
+		fmt.Fprintln(os.Stderr, "scalerun:", err)
+		os.Exit(1)
+	}
+}
+
+func run(s scale.Size, binary string) error {
+	dir, err := os.MkdirTemp("", "comethold-scale-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	r := scale.New(s, binary, dir)
+	defer r.Close()
+	rep, err := r.Measure(ctx)
+	if err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(rep, "", " ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(raw))
+	return nil
+}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -303,10 +303,10 @@
 func (f *fleet) garble(m *machine) error {
 	doors := []string{}
 	if m.reg != nil {
-		for _, path := range []string{"/cells", "/propose", "/confirm", "/claim", "/move", "/list", "/feed", "/ration"} {
+		for _, path := range []string{"/cells", "/propose", "/confirm", "/claim", "/move", "/list", "/feed", "/ration", "/notices"} {
 			doors = append(doors, net.JoinHostPort(m.addr, strconv.Itoa(f.settings(m).PortOf(settings.Registrar)))+path)
 		}
-		for _, path := range []string{"/Configuration.Replace", "/Configuration.Amend", "/purge"} {
+		for _, path := range []string{"/Configuration.Replace", "/Configuration.Amend", "/purge", "/Notices.Redrive"} {
 			doors = append(doors, net.JoinHostPort(m.addr, controlPort)+path)
 		}
 	}
@@ -491,6 +491,56 @@
 			}
 		}
 		f.statusL = map[string]int{}
+	case "want-backlog": // want-backlog N WITHIN: rows not published, and every registrar has decided the newest version
+		last := ""
+		err := f.until(c.Millis(1), "the outbox", func() bool {
+			for _, m := range f.sorted() {
+				if m.reg == nil {
+					continue
+				}
+				_, raw := f.call(m, http.MethodGet, "/Notices.Read", 0, "")
+				var v registrar.NoticesView
+				last = m.name + ": " + raw
+				if json.Unmarshal([]byte(raw), &v) != nil || v.Backlog != int(uintOf(0)) || v.Decided["configuration"] != f.newest {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return errors.Join(err, errors.New(last))
+		}
+	case "want-quarantine": // want-quarantine N REDRIVES WITHIN: so many cases and redrives on every registrar
+		return f.until(c.Millis(2), "the quarantine", func() bool {
+			for _, m := range f.sorted() {
+				var v registrar.NoticesView
+				if m.reg == nil {
+					continue
+				}
+				_, raw := f.call(m, http.MethodGet, "/Notices.Read", 0, "")
+				if json.Unmarshal([]byte(raw), &v) != nil || len(v.Quarantine) != int(uintOf(0)) || len(v.Redrives) != int(uintOf(1)) {
+					return false
+				}
+			}
+			return true
+		})
+	case "redrive": // redrive EVENT ACTION AT: every case whose event id begins so
+		m := f.pick(c.Word(2))[0]
+		_, raw := f.call(m, http.MethodGet, "/Notices.Read", 0, "")
+		var v registrar.NoticesView
+		if err := json.Unmarshal([]byte(raw), &v); err != nil {
+			return err
+		}
+		ids := []string{c.Word(0)}
+		for _, q := range v.Quarantine {
+			if strings.HasPrefix(q.EventID, c.Word(0)) {
+				ids = append(ids, q.EventID)
+			}
+		}
+		status := f.post(m, "/Notices.Redrive", 0, fmt.Sprintf(`{"eventId":%q,"operator":"op","correlationId":"case-1","action":%q}`, ids[len(ids)-1], c.Word(1)))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.statusL[strconv.Itoa(status)]++
 	case "tenant": // tenant NAME RATE BURST [key=]: in the configurations from now on
 		t := f.tenants[c.Word(0)]
 		if t == nil {
--- a/internal/switchboard/teller.go
+++ b/internal/switchboard/teller.go
@@ -72,6 +72,7 @@
 	t := &teller{office: o, rules: o.Set.Bounds.Quota(), reserve: quota.NewReserve(), waiting: map[string]*queue{},
 		asks: map[uint64]*draw{}, nextID: rand.Uint64(), shun: map[string]time.Time{}}
 	o.OnGrant(t.hear)
+	o.OnChanged(func(names []string) { t.reserve.Drop(names) })
 	return t
 }
 
