--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,6 +42,9 @@
 	DutyTaken         Number = 403
 	DutyLost          Number = 404
 	QuotaShare        Number = 405
+	ReportSent        Number = 406
+	ReportFailed      Number = 407
+	DutyUnknown       Number = 408
 	LeafMarked        Number = 501
 	LeafCleared       Number = 502
 	ListChanged       Number = 503
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -119,7 +119,9 @@
 	in     int           // shards whose part is in
 	open   int           // shards that may still answer
 	back   time.Duration // when a service's rate allows more, if that was in the way
-	due    time.Time     // not after the next moment at which an open shard needs something done
+	began  func(at time.Time)
+	maybe  time.Time // when a leaf was asked that may have run it
+	due    time.Time // not after the next moment at which an open shard needs something done
 }
 
 var errNoTurn = errors.New("gather: the service's rate is spent")
@@ -138,8 +140,10 @@
 	return r
 }
 
-// Ask carries a request to the leafs of its line and returns the answer.
-func (a *Asker) Ask(l *numbering.Line, r *trunk.Request, start time.Time) *Reply {
+// Ask carries a request to the leafs of its line and returns the answer. ran, if given, is
+// called once if a leaf began to run it, or may have, with the moment at which that leaf
+// was asked.
+func (a *Asker) Ask(l *numbering.Line, r *trunk.Request, start time.Time, ran func(at time.Time)) *Reply {
 	services := l.FanoutServices
 	gathered := len(services) > 0
 	if !gathered {
@@ -161,6 +165,7 @@
 	}
 	k := &asking{Asker: a, line: l, req: r, pace: a.pace(l.Name), shards: make([]shard, len(services)),
 		ch: make(chan outcome, len(services)*(l.Tries+freeTries))}
+	k.began = ran
 	k.usual = k.pace.hedgeAfter(l.Target)
 	k.open = len(services)
 	r.Once = !l.Repeatable()
@@ -169,6 +174,7 @@
 		k.launch(i, start)
 	}
 	k.wait(start, least, gathered)
+	k.unclear()
 	if gathered {
 		return k.joined(least)
 	}
@@ -362,6 +368,7 @@
 	now := time.Now()
 	switch {
 	case o.err == nil && o.a.Good():
+		k.ran(now.Add(-o.took))
 		k.fill(s, o.a)
 		k.pace.add(o.took)
 		return
@@ -391,6 +398,11 @@
 	default:
 		s.ran = true
 		s.last = o.a
+		if o.err == nil {
+			k.ran(now.Add(-o.took))
+		} else if k.maybe.IsZero() {
+			k.maybe = now.Add(-o.took)
+		}
 		s.late = s.late || errors.Is(o.err, trunk.ErrLate)
 		if s.part == nil && s.pending == 0 && k.line.Repeatable() && k.again(o.shard, 0, now) {
 			return
@@ -399,6 +411,27 @@
 	k.settle(s)
 }
 
+// ran notes, once, that a leaf has run the request.
+func (k *asking) ran(at time.Time) {
+	if k.began != nil {
+		k.began(at)
+		k.began = nil
+	}
+}
+
+// unclear counts a request of which no leaf said that it has run or not as one that has:
+// a leaf that was asked and breaks off, or is slow, was mostly at work.
+func (k *asking) unclear() {
+	for i := range k.shards {
+		if s := &k.shards[i]; s.pending > 0 && k.maybe.IsZero() {
+			k.maybe = s.since
+		}
+	}
+	if !k.maybe.IsZero() {
+		k.ran(k.maybe)
+	}
+}
+
 // single makes the reply of a line with one leaf.
 func (k *asking) single() *Reply {
 	s := &k.shards[0]
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -22,12 +22,13 @@
 	ErrConflict = errors.New("notice: the event id is known with other content")
 )
 
-// The aggregates whose versions notices carry. Neither begins anew when an index is cut
-// into other shards: the one counts the operator's versions, the other positions of the
-// exchange cell's log.
+// The aggregates whose versions notices carry. None begins anew when an index is cut
+// into other shards: they go by the operator's versions, by positions of the exchange
+// cell's log, and by time.
 const (
 	Configuration = "configuration"
 	Purges        = "purges"
+	Usage         = "usage" // by windows of true time; sent to the platform alone
 )
 
 // Notice tells that a change was committed. It never changes.
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -18,6 +18,7 @@
 	"comethold/internal/settings"
 	"comethold/internal/toll"
 	"comethold/internal/trunk"
+	"comethold/internal/usage"
 	"comethold/internal/wire"
 
 	"github.com/labstack/echo/v4"
@@ -41,6 +42,7 @@
 	castMu  sync.Mutex
 	cast    net.PacketConn // for datagrams, once Beat has begun
 	onGrant func(*quota.Grant)
+	onNoted func(*usage.Noted)
 
 	ringMu sync.Mutex
 	watch  *ring.Watch
@@ -53,7 +55,7 @@
 	frame := trunk.NewFrame(trunk.Place{Node: set.NodeName, Zone: set.AvailabilityZone, Region: set.Region}, dial, log)
 	b := set.Bounds
 	budget := toll.New(toll.Terms{Ratio: b.RetryBudgetRatio, Slack: b.RetryBudgetSlack, Window: b.Window()}, time.Now())
-	o := &Office{Set: set, Net: n, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}), onGrant: func(*quota.Grant) {},
+	o := &Office{Set: set, Net: n, Log: log, Frame: frame, Toll: budget, program: program, quit: make(chan struct{}), onGrant: func(*quota.Grant) {}, onNoted: func(*usage.Noted) {},
 		state: newState(log, frame, budget), watch: ring.NewWatch(set.NodeName, set.Heartbeat())}
 	o.feeder = newFeeder(set, o.state, log, program, wire.NewClient(n))
 	o.feeder.suspects = o.suspects
@@ -95,8 +97,21 @@
 // OnGrant names what takes grants of tokens; see OnPlan.
 func (o *Office) OnGrant(f func(*quota.Grant)) { o.onGrant = f }
 
+// OnNoted names what takes answers to counts; see OnPlan.
+func (o *Office) OnNoted(f func(*usage.Noted)) { o.onNoted = f }
+
+// RegistrarAddrs lists where the registrars take datagrams, as Registrars does.
+func (o *Office) RegistrarAddrs() (out []net.Addr) {
+	for _, h := range o.feeder.registrars() {
+		if ip := net.ParseIP(h); ip != nil {
+			out = append(out, &net.UDPAddr{IP: ip, Port: o.Set.PortOf(settings.Registrar)})
+		}
+	}
+	return out
+}
+
 // Send sends a datagram to another process, if it can.
-func (o *Office) Send(to net.Addr, d *quota.Datagram) {
+func (o *Office) Send(to net.Addr, d *feed.Datagram) {
 	o.castMu.Lock()
 	c := o.cast
 	o.castMu.Unlock()
@@ -237,7 +252,7 @@
 	o.cast = c
 	o.castMu.Unlock()
 	go o.listen(c)
-	msg, err := wire.Marshal(&quota.Datagram{Beat: o.Set.NodeName})
+	msg, err := wire.Marshal(&feed.Datagram{Beat: o.Set.NodeName})
 	if err != nil {
 		return err
 	}
@@ -290,12 +305,14 @@
 			}
 			continue
 		}
-		var d quota.Datagram
+		var d feed.Datagram
 		if wire.Unmarshal(buf[:n], &d) != nil {
 			continue
 		}
 		if d.Grant != nil {
 			o.onGrant(d.Grant)
+		} else if d.Noted != nil {
+			o.onNoted(d.Noted)
 		} else if d.Beat != "" {
 			o.ringMu.Lock()
 			o.watch.Heard(d.Beat, time.Now())
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -1,12 +1,5 @@
 package quota
 
-// Datagram is what nodes send one another without a connection.
-type Datagram struct {
-	Beat  string `cbor:"1,keyasint,omitempty"` // the name of a node that is well
-	Ask   *Ask   `cbor:"2,keyasint,omitempty"`
-	Grant *Grant `cbor:"3,keyasint,omitempty"`
-}
-
 // Ask asks for tokens: of a node to a registrar, or with Lend of one
 // registrar to another, which then asks nobody else.
 type Ask struct {
--- a/internal/registrar/duty.go
+++ b/internal/registrar/duty.go
@@ -49,6 +49,30 @@
 	return d.term, time.Now().Before(d.until)
 }
 
+// left is how long this node still holds the duty under a term.
+func (d *duty) left(term uint64) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.term != term {
+		return 0
+	}
+	return time.Until(d.until)
+}
+
+// condition holds while nobody else has taken the duty: a transaction under it is one
+// of its holder, who has it under the term.
+func (d *duty) condition(term uint64) (cell.Condition, bool) {
+	rec, raw := d.record()
+	return cell.Condition{Key: keyDuty + d.name, Equals: cell.Bytes(raw)}, raw != nil && rec.Holder == d.host.self.ID && rec.Term == term && d.left(term) > 0
+}
+
+// giveUp ends what this node holds; it may take the duty anew, under another term.
+func (d *duty) giveUp() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.until = time.Time{}
+}
+
 func (d *duty) run(quit <-chan struct{}) {
 	for {
 		d.step()
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -74,6 +74,8 @@
 	// listed is the stamp of the leaf list held here; seen is told of others'.
 	listed   func() feed.Stamp
 	seen     func(addr string, at feed.Stamp)
+	times    func() (wall, agreed int64)
+	timeSeen func(addr string, wall, agreed int64)
 	helloAt  time.Duration
 	tickedAt time.Duration
 	wokeAt   time.Duration // this node stood still until then and heard nobody
@@ -87,7 +89,8 @@
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
 		openedAt: map[string]time.Duration{}, changed: func(string, cell.Touched) {},
-		listed: func() feed.Stamp { return feed.Stamp{} }, seen: func(string, feed.Stamp) {}}
+		listed: func() feed.Stamp { return feed.Stamp{} }, seen: func(string, feed.Stamp) {},
+		times: func() (int64, int64) { return 0, 0 }, timeSeen: func(string, int64, int64) {}}
 }
 
 // Identity returns the member name of this life of the disk, made and synced
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -23,6 +23,9 @@
 	Hello    Hello          `cbor:"1,keyasint"`
 	Messages []cell.Message `cbor:"2,keyasint,omitempty"`
 	List     feed.Stamp     `cbor:"3,keyasint"` // of the leaf list that the sender holds
+	// The sender's time of day and the time that it agrees on, where that matters.
+	Wall   int64 `cbor:"4,keyasint,omitempty"`
+	Agreed int64 `cbor:"5,keyasint,omitempty"`
 }
 
 type peer struct {
@@ -169,7 +172,9 @@
 		p.queue = nil
 		h.peersMu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-		_ = h.call.Call(ctx, to, "/cells", &Batch{Hello: h.self, Messages: msgs, List: h.listed()}, nil)
+		b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
+		b.Wall, b.Agreed = h.times()
+		_ = h.call.Call(ctx, to, "/cells", b, nil)
 		cancel()
 	}
 }
@@ -199,6 +204,9 @@
 		p.hello, p.heard = b.Hello, now
 		h.peersMu.Unlock()
 		h.seen(b.Hello.Addr, b.List)
+		if b.Wall != 0 {
+			h.timeSeen(b.Hello.Addr, b.Wall, b.Agreed)
+		}
 		touched := map[string]*cell.Member{}
 		for _, msg := range b.Messages {
 			if m := h.cells[msg.Cell]; m != nil {
--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -128,20 +128,22 @@
 			}
 			continue
 		}
-		var d quota.Datagram
+		var d feed.Datagram
 		if wire.Unmarshal(buf[:n], &d) != nil {
 			continue
 		}
 		switch {
 		case d.Grant != nil:
 			r.quotas.hear(d.Grant)
+		case d.Tally != nil:
+			r.hearTally(d.Tally, from)
 		case d.Ask != nil && len(d.Ask.Wants) <= quota.MostWants:
 			r.answerAsk(d.Ask, from)
 		}
 	}
 }
 
-func (q *quotas) send(to net.Addr, d *quota.Datagram) {
+func (q *quotas) send(to net.Addr, d *feed.Datagram) {
 	if b, err := wire.Marshal(d); err == nil {
 		_, _ = q.conn.WriteTo(b, to)
 	}
@@ -172,7 +174,7 @@
 			short = append(short, i)
 		}
 	}
-	reply := func() { q.send(from, &quota.Datagram{Grant: g}) }
+	reply := func() { q.send(from, &feed.Datagram{Grant: g}) }
 	if len(short) > 0 {
 		lenders := r.lenders()
 		go func() {
@@ -238,7 +240,7 @@
 	q.mu.Unlock()
 	for id, a := range sent {
 		q.send(&net.UDPAddr{IP: net.ParseIP(a), Port: port},
-			&quota.Datagram{Ask: &quota.Ask{ID: id, Lend: true, Wants: []quota.Want{{Tenant: tenant, Milli: int64(x*1000 + 0.999)}}}})
+			&feed.Datagram{Ask: &quota.Ask{ID: id, Lend: true, Wants: []quota.Want{{Tenant: tenant, Milli: int64(x*1000 + 0.999)}}}})
 	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -35,13 +35,15 @@
 	board *board
 	plat  *directory.Platform
 
-	poller  *duty
-	mover   *duty
-	recalls chan *pendingRecall
-	claims  chan *pendingClaim
-	shares  map[feed.Shares]*shareKeeper
-	quotas  *quotas
-	notices *noticeBox
+	poller   *duty
+	mover    *duty
+	reporter *duty
+	recalls  chan *pendingRecall
+	claims   chan *pendingClaim
+	shares   map[feed.Shares]*shareKeeper
+	quotas   *quotas
+	notices  *noticeBox
+	usages   *usages
 
 	large sync.Mutex // held while a large order is read
 	young bool       // this is the first start of the whole system
@@ -94,7 +96,7 @@
 		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
 		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
-		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota()), notices: newNoticeBox(v.Node(inboxNote))}
+		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota()), notices: newNoticeBox(v.Node(inboxNote)), usages: newUsages(n)}
 	if set.Platform.Address != "" {
 		r.plat = directory.NewPlatform(n, set.Platform.Address)
 	}
@@ -117,6 +119,15 @@
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
 	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
 	r.mover = newDuty(r.host, "mover", 1500*time.Millisecond)
+	r.reporter = newDuty(r.host, "usage", usageHold)
+	if set.ReportsUsage() {
+		r.host.times, r.host.timeSeen = r.usages.times, func(peer string, wall, agreed int64) {
+			r.usages.clock.Heard(peer, wall, agreed, time.Now())
+		}
+	}
+	for _, name := range set.UnknownDuties() {
+		log.Warn(event.DutyUnknown).Str("duty", name).Msg("the settings name a duty that this version does not know; it is not done")
+	}
 	var founders []cell.Seat
 	if set.FirstStart {
 		for _, a := range set.SeedHosts() {
@@ -132,7 +143,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.noticeLoop, r.publishLoop,
+		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.noticeLoop, r.publishLoop, r.usageLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
@@ -289,6 +300,13 @@
 		}
 		return c.NoContent(http.StatusNotFound)
 	})
+	e.POST("/usage", func(c echo.Context) error {
+		var a usageAsk
+		if err := wire.Read(c.Request().Body, &a); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		return answer(c, r.usages.book.Of(a.Window))
+	})
 	e.POST("/notices", func(c echo.Context) error {
 		var list []notice.Notice
 		if err := wire.Read(c.Request().Body, &list); err != nil {
--- a/internal/registrar/schema.go
+++ b/internal/registrar/schema.go
@@ -32,6 +32,7 @@
 	keyShares  = "shares"       // map of node to feed.Share, for the rates of services
 	keyQuotas  = "quota-shares" // the same for the tenants' quotas
 
+	keyUsage      = "usage/"      // + window: notice.Row with the report
 	keyOutbox     = "outbox/"     // + log position and transaction: notice.Row
 	keyQuarantine = "quarantine/" // + event id: quarantined
 	keyRedrive    = "redrive/"    // + log position and transaction: redrive
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -209,6 +209,7 @@
 	sw := switchboard.New(set, event.Nop(), n)
 	m.sw, m.born = sw, true
 	go func() { _ = sw.Feed() }()
+	go func() { _ = sw.Count() }()
 	go func() { _ = sw.Beat(f.mesh.cast(inner(settings.Switch))) }()
 	serve(inner(settings.Switch), sw.Inner())
 	m.stop = func() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -76,6 +77,9 @@
 	QuotaSlack       float64 `toml:"quotaSlack" validate:"min=0"`
 	RevocationGlobal bool    `toml:"revocationGlobal"`
 	RevocationMs     int64   `toml:"revocationMs" validate:"min=0"`
+	LeaseMs          int64   `toml:"leaseMs" validate:"min=0"`
+	UsageWindowS     float64 `toml:"usageWindowS" validate:"min=0"`
+	UsageDelayS      float64 `toml:"usageDelayS" validate:"min=0"`
 }
 
 // Tolerance says how much may be lost at one time.
@@ -87,7 +91,10 @@
 type Platform struct {
 	Address  string  `toml:"address" validate:"omitempty,hostname_port"`
 	RatePerS float64 `toml:"ratePerS" validate:"min=0"`
-	MaxLagMs int64   `toml:"maxLagMs" validate:"min=0"`
+	// Duties are calls that one node at a time makes.
+	Duties     []string `toml:"duties"`
+	DutiesPerS float64  `toml:"dutiesPerS" validate:"min=0"`
+	MaxLagMs   int64    `toml:"maxLagMs" validate:"min=0"`
 }
 
 // Log sets what is logged: trace, debug, info, warn or error.
@@ -169,6 +176,32 @@
 	return quota.Rules{Window: time.Duration(b.QuotaWindowS * float64(time.Second)), Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
 }
 
+// DutyUsage is the duty of reporting what tenants use.
+const DutyUsage = "usage_reporting"
+
+// ReportsUsage reports whether usage is to be counted and reported.
+func (s *Settings) ReportsUsage() bool {
+	return slices.Contains(s.Platform.Duties, DutyUsage) && s.Bounds.UsageWindowS > 0 && s.Platform.Address != ""
+}
+
+// UnknownDuties lists duties that this version does not know.
+func (s *Settings) UnknownDuties() []string {
+	return slices.DeleteFunc(slices.Clone(s.Platform.Duties), func(d string) bool { return d == DutyUsage })
+}
+
+// UsageWindow is the length of the windows by which usage is counted.
+func (b Bounds) UsageWindow() time.Duration {
+	return time.Duration(b.UsageWindowS * float64(time.Second))
+}
+
+// UsageDelay is how long after its window's end a report falls due.
+func (b Bounds) UsageDelay() time.Duration {
+	return time.Duration(b.UsageDelayS * float64(time.Second))
+}
+
+// Lease is the span within which two holders of a duty may not take turns.
+func (b Bounds) Lease() time.Duration { return time.Duration(b.LeaseMs) * time.Millisecond }
+
 // Revocation is within what time a key that is taken away must be refused by every
 // node, in touch or not; 0 asks it of those in touch alone.
 func (b Bounds) Revocation() time.Duration {
--- a/internal/switchboard/front.go
+++ b/internal/switchboard/front.go
@@ -27,6 +27,7 @@
 	asker   *gather.Asker
 	objects *announce.Office // nil outside content deployments
 	teller  *teller
+	counter *counter // nil where nobody wants counts
 	log     *event.Log
 
 	leaving atomic.Bool
@@ -47,7 +48,7 @@
 )
 
 func newFront(o *office.Office, a *gather.Asker, objects *announce.Office, log *event.Log) *Front {
-	return &Front{office: o, asker: a, objects: objects, teller: newTeller(o), log: log, idle: map[net.Conn]time.Time{}}
+	return &Front{office: o, asker: a, objects: objects, teller: newTeller(o), counter: newCounter(o), log: log, idle: map[net.Conn]time.Time{}}
 }
 
 // server makes the server of the clients' port. Every request goes to serve:
@@ -158,10 +159,18 @@
 			return f.refuse(w, http.StatusServiceUnavailable, "no word of what the tenant may send")
 		}
 	}
+	ran := func(time.Time) {}
+	if tenant != nil && f.counter != nil {
+		ran = func(at time.Time) { f.counter.ran(tenant.Name, at) }
+	}
 	if f.objects != nil && line.RouteKind == numbering.Cacheable && r.Method == http.MethodGet {
-		return f.answer(w, r.Method, f.object(line, req, r.Header))
+		a := f.object(line, req, r.Header)
+		if a.Status/100 == 2 {
+			ran(time.Now()) // on these routes what counts is a success
+		}
+		return f.answer(w, r.Method, a)
 	}
-	return f.answer(w, r.Method, f.asker.Ask(line, req, start))
+	return f.answer(w, r.Method, f.asker.Ask(line, req, start, ran))
 }
 
 // targetOf returns the raw target and its path.
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -68,6 +68,15 @@
 	return err
 }
 
+// Count tells what tenants have run until the node ends.
+func (s *Switch) Count() error {
+	if s.front.counter != nil {
+		s.front.counter.loop()
+	}
+	<-s.Quit()
+	return nil
+}
+
 // Sweep does the regular small work until the node ends.
 func (s *Switch) Sweep() error {
 	t := time.NewTicker(sweepEvery)
--- a/internal/switchboard/teller.go
+++ b/internal/switchboard/teller.go
@@ -3,10 +3,10 @@
 import (
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
+	"comethold/internal/feed"
 	"comethold/internal/numbering"
 	"comethold/internal/office"
 	"comethold/internal/quota"
@@ -14,7 +14,11 @@
 
 // Pacing of draws. Ours; see docs/design.md.
 const (
-	askGap      = 10 * time.Millisecond // least time between two datagrams: what comes meanwhile goes together
+	// Least time between two datagrams: what comes meanwhile goes together. A busy node
+	// has more to put together, and its datagrams would cost more than what is in them.
+	askGap      = 10 * time.Millisecond
+	askGapBusy  = 30 * time.Millisecond
+	askBusy     = 20.0                  // datagrams a second
 	askAgain    = 30 * time.Millisecond // after which another registrar is asked
 	askTries    = 3
 	shunTeller  = time.Second            // a registrar that did not answer, or has no share
@@ -36,7 +40,8 @@
 	asks    map[uint64]*draw
 	nextID  uint64
 	sentAt  time.Time
-	armed   bool // a send is due
+	perS    float64 // datagrams, smoothed over a second
+	armed   bool    // a send is due
 	order   []net.Addr
 	orderAt time.Time
 	shun    map[string]time.Time
@@ -70,7 +75,7 @@
 
 func newTeller(o *office.Office) *teller {
 	t := &teller{office: o, rules: o.Set.Bounds.Quota(), reserve: quota.NewReserve(), waiting: map[string]*queue{},
-		asks: map[uint64]*draw{}, nextID: rand.Uint64(), shun: map[string]time.Time{}}
+		asks: map[uint64]*draw{}, nextID: uint64(rand.Uint32()), shun: map[string]time.Time{}}
 	o.OnGrant(t.hear)
 	o.OnChanged(func(names []string) { t.reserve.Drop(names) })
 	return t
@@ -135,7 +140,11 @@
 		return
 	}
 	t.armed = true
-	if wait := askGap - now.Sub(t.sentAt); wait > 0 {
+	gap := askGap
+	if t.perS > askBusy {
+		gap = askGapBusy
+	}
+	if wait := gap - now.Sub(t.sentAt); wait > 0 {
 		time.AfterFunc(wait, t.ask)
 		return
 	}
@@ -183,8 +192,9 @@
 	t.nextID++
 	id := t.nextID
 	t.asks[id] = d
+	t.perS = t.perS*max(0, 1-now.Sub(t.sentAt).Seconds()) + 1
 	t.sentAt = now
-	t.office.Send(d.to, &quota.Datagram{Ask: &quota.Ask{ID: id, Wants: d.wants}})
+	t.office.Send(d.to, &feed.Datagram{Ask: &quota.Ask{ID: id, Wants: d.wants}})
 	time.AfterFunc(askAgain, func() { t.overdue(id) })
 }
 
@@ -288,14 +298,7 @@
 // registrarLocked is whom to ask: the first in the order of the feed that answers.
 func (t *teller) registrarLocked(now time.Time) net.Addr {
 	if now.Sub(t.orderAt) > orderAge {
-		t.order, t.orderAt = t.order[:0], now
-		for _, h := range t.office.Registrars() {
-			host, port, err := net.SplitHostPort(h)
-			n, err2 := strconv.Atoi(port)
-			if ip := net.ParseIP(host); err == nil && err2 == nil && ip != nil {
-				t.order = append(t.order, &net.UDPAddr{IP: ip, Port: n})
-			}
-		}
+		t.order, t.orderAt = t.office.RegistrarAddrs(), now
 	}
 	var best net.Addr
 	for _, a := range t.order {
