--- a/cmd/comethold/operate.go
+++ b/cmd/comethold/operate.go
@@ -84,6 +84,14 @@
 			return operate(c, at, http.MethodGet, "/Notices.Read", nil)
 		},
 	}
+	duties := &cobra.Command{
+		Use:   "duties",
+		Short: "Show who holds which duty, its fence, and how the usage reports stand",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return operate(c, at, http.MethodGet, "/Duties.Read", nil)
+		},
+	}
 	var order struct {
 		EventID       string `json:"eventId"`
 		Operator      string `json:"operator"`
@@ -104,8 +112,8 @@
 	f.StringVar(&order.Operator, "operator", "", "who orders it")
 	f.StringVar(&order.CorrelationID, "correlation", "", "the case that it belongs to")
 	f.StringVar(&order.Action, "action", "resend", "resend or close")
-	for _, c := range []*cobra.Command{notices, redrive} {
+	for _, c := range []*cobra.Command{notices, redrive, duties} {
 		c.Flags().StringVar(&at, "at", "", "the control address of a registrar (this machine's, if absent)")
 	}
-	return []*cobra.Command{notices, redrive}
+	return []*cobra.Command{notices, redrive, duties}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -162,6 +162,8 @@
 	Permille int  `cbor:"1,keyasint"`
 	Fair     int  `cbor:"2,keyasint"`
 	Granted  bool `cbor:"3,keyasint,omitempty"`
+	// Kept: the claimant's share was recorded until now, so nobody else had any of it.
+	Kept bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Have says what a caller already holds.
--- a/internal/quota/bank.go
+++ b/internal/quota/bank.go
@@ -13,14 +13,21 @@
 	since   time.Time // the share is held without a gap since then
 	terms   map[string]Terms
 	buckets map[string]*bucket
+	stray   map[string]float64 // floors that the disk holds of tenants that have no bucket
 }
 
 type bucket struct {
 	level float64
 	at    time.Time // of level
 	gone  time.Time // since when the tenant has no terms
+	// floor is what the disk says that the bucket holds, or more while the disk is being
+	// told: nothing is granted below it, so that a life that begins may go by it.
+	floor float64
 }
 
+// free is what may be taken.
+func (k *bucket) free() float64 { return max(0, k.level-k.floor) }
+
 const (
 	// known is how long a bank remembers the bucket of a tenant that is no more, and
 	// how long it must have held its share to know that a tenant is new: one that it
@@ -31,7 +38,9 @@
 )
 
 // NewBank makes a bank that holds no share.
-func NewBank() *Bank { return &Bank{terms: map[string]Terms{}, buckets: map[string]*bucket{}} }
+func NewBank() *Bank {
+	return &Bank{terms: map[string]Terms{}, buckets: map[string]*bucket{}, stray: map[string]float64{}}
+}
 
 func (b *Bank) held(now time.Time) float64 {
 	if !now.Before(b.until) {
@@ -67,10 +76,12 @@
 	if b.held(now) > 0 {
 		b.settleLocked(now)
 	} else {
-		clear(b.buckets)
 		b.since = now
+		for _, k := range b.buckets { // what the disk says of them stands
+			k.level, k.at = 0, now
+		}
 		for name := range b.terms {
-			b.buckets[name] = &bucket{at: now}
+			b.makeLocked(name, 0, now)
 		}
 	}
 	b.share, b.until = share, until
@@ -89,20 +100,30 @@
 			old.gone = time.Time{}
 			old.level = min(old.level, t.Depth*b.share)
 		case b.held(now) > 0 && now.Sub(b.since) >= known:
-			b.buckets[name] = &bucket{level: t.Depth * b.share, at: now}
+			b.makeLocked(name, t.Depth*b.share, now)
 		default:
-			b.buckets[name] = &bucket{at: now}
+			b.makeLocked(name, 0, now)
 		}
 	}
 	for name, k := range b.buckets {
 		if _, ok := terms[name]; !ok && k.gone.IsZero() {
 			k.gone, k.level = now, 0
 		} else if !k.gone.IsZero() && now.Sub(k.gone) > known {
-			delete(b.buckets, name)
+			if delete(b.buckets, name); k.floor > 0 {
+				b.stray[name] = k.floor
+			}
 		}
 	}
 }
 
+// makeLocked makes a tenant's bucket, if it has none.
+func (b *Bank) makeLocked(name string, level float64, now time.Time) {
+	if b.buckets[name] == nil {
+		b.buckets[name] = &bucket{level: level, at: now, floor: b.stray[name]}
+		delete(b.stray, name)
+	}
+}
+
 // settleLocked brings all buckets up to date, before what they depend on changes.
 func (b *Bank) settleLocked(now time.Time) {
 	for name, k := range b.buckets {
@@ -130,10 +151,10 @@
 	if k == nil || n <= 0 {
 		return 0, longBack
 	}
-	granted = min(n, max(0, int(k.level)))
+	granted = min(n, int(k.free()))
 	k.level -= float64(granted)
 	if granted < n {
-		back = min(longBack, time.Duration((1-k.level)/(t.Rate*share)*float64(time.Second)))
+		back = min(longBack, time.Duration((1-k.free())/(t.Rate*share)*float64(time.Second)))
 	}
 	return granted, back
 }
@@ -146,7 +167,7 @@
 	if k == nil {
 		return 0
 	}
-	x := max(0, min(most, k.level))
+	x := max(0, min(most, k.free()))
 	k.level -= x
 	return x
 }
@@ -171,3 +192,78 @@
 	b.fillLocked(tenant, k, now)
 	return k, t, share
 }
+
+const (
+	floorPart = 0.5   // of a level that the disk vouches for
+	floorLow  = 0.125 // of a slice: with less than that free the floor is lowered
+	floorFull = 0.8   // of a slice: from that level on the floor is raised
+)
+
+// Floors works out floors for the disk, if some of them ought to move. Until FloorsKept
+// says that they are on the disk, the old ones hold where they are higher.
+func (b *Bank) Floors(now time.Time) (floors map[string]float64, due bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.held(now) <= 0 {
+		return nil, false
+	}
+	b.settleLocked(now)
+	floors, due = map[string]float64{}, len(b.stray) > 0
+	for name, k := range b.buckets {
+		t, ok := b.terms[name]
+		if !ok {
+			continue
+		}
+		depth, want := t.Depth*b.share, k.floor
+		switch to := floorPart * k.level; {
+		case k.floor > 0 && k.free() < floorLow*depth:
+			want = 0
+			if to >= 1 {
+				want = to
+			}
+			due = true
+		case k.level >= floorFull*depth && to > 1.5*k.floor+0.5:
+			want = to
+			due = true
+		}
+		if want > 0 {
+			floors[name] = want
+		}
+	}
+	if due {
+		for name, k := range b.buckets {
+			k.floor = max(k.floor, floors[name])
+		}
+	}
+	return floors, due
+}
+
+// FloorsKept notes that these floors, and none but these, are on the disk.
+func (b *Bank) FloorsKept(floors map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, k := range b.buckets {
+		k.floor = floors[name]
+	}
+	clear(b.stray)
+}
+
+// Restore takes the floors that a former life left on the disk. Where its share has not
+// been anybody's since, the slices hold these at least; no time is reckoned in. Where it
+// may have been, they hold nothing, but the disk says what it says until it is told anew.
+func (b *Bank) Restore(floors map[string]float64, kept bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settleLocked(now)
+	for name, x := range floors {
+		k := b.buckets[name]
+		if k == nil {
+			b.stray[name] = x
+			continue
+		}
+		k.floor = x
+		if kept {
+			k.level = min(k.level+x, b.terms[name].Depth*b.share)
+		}
+	}
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -30,6 +30,7 @@
 			all[i].SetTenants(map[string]Terms{"t": terms}, now)
 			all[i].Renew(1.0/banks, now.Add(time.Hour), now)
 		}
+		disks := make([]map[string]float64, banks)
 		nodes := make([]*Reserve, 10)
 		for i := range nodes {
 			nodes[i] = NewReserve()
@@ -44,10 +45,28 @@
 			}
 			i := rng.Intn(banks)
 			switch rng.Intn(200) {
-			case 0: // restarted: its lease is new, what it held is gone
+			case 0: // restarted after its share lapsed: others may have had it
 				all[i] = NewBank()
 				all[i].SetTenants(map[string]Terms{"t": terms}, now)
 				all[i].Renew(1.0/banks, now.Add(time.Hour), now)
+				all[i].Restore(disks[i], false, now)
+			case 2: // restarted in between: it takes what its former life kept on the disk
+				all[i] = NewBank()
+				all[i].SetTenants(map[string]Terms{"t": terms}, now)
+				all[i].Renew(1.0/banks, now.Add(time.Hour), now)
+				all[i].Restore(disks[i], true, now)
+			case 3, 4, 5, 6, 7, 8, 9: // a write of the floors begins, and is done or not when the next thing happens
+				if floors, due := all[i].Floors(now); due {
+					if rng.Intn(3) > 0 {
+						disks[i] = floors
+						all[i].FloorsKept(floors)
+					} else if rng.Intn(2) == 0 {
+						disks[i] = floors // the disk has it, the bank was not told yet
+					}
+				}
+			case 10: // its lease ended for a moment, in the same life
+				all[i].Renew(1.0/banks, now, now)
+				all[i].Renew(1.0/banks, now.Add(time.Hour), now)
 			case 1: // lends
 				j := rng.Intn(banks)
 				all[j].Put("t", all[i].Draw("t", rng.Float64()*3, now), now)
@@ -183,3 +202,64 @@
 		t.Fatal("idle tenants are remembered")
 	}
 }
+
+// TestFloors: a bank that restarts again and again, at any moment between two writes,
+// grants no more than one that never does; and one that restarts while all is calm goes
+// on with half of what it had.
+func TestFloors(t *testing.T) {
+	terms := map[string]Terms{"t": {Rate: 10, Depth: 40, Life: time.Second}}
+	for seed := range int64(50) {
+		rng := rand.New(rand.NewSource(seed))
+		now := time.Unix(1000, 0)
+		var disk map[string]float64
+		start := func(kept bool) *Bank {
+			b := NewBank()
+			b.SetTenants(terms, now)
+			b.Renew(1, now.Add(time.Hour), now)
+			b.Restore(disk, kept, now)
+			return b
+		}
+		b := start(false)
+		write := func() {
+			if floors, due := b.Floors(now); due {
+				disk = floors
+				if rng.Intn(2) == 0 {
+					b.FloorsKept(floors)
+				}
+			}
+		}
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			write()
+		}
+		b = start(true)
+		if got := b.Draw("t", 1, now); got != 0 {
+			t.Fatalf("seed %d: %v is granted before the disk is told", seed, got)
+		}
+		floors, due := b.Floors(now)
+		if disk = floors; !due {
+			t.Fatalf("seed %d: nothing is free, and the floors stay", seed)
+		}
+		b.FloorsKept(floors)
+		spent := b.Draw("t", 99, now)
+		if spent < 5 {
+			t.Fatalf("seed %d: %v is granted after a restart in calm times", seed, spent)
+		}
+		for step := range 200 {
+			if step%4 == 0 {
+				now = now.Add(50 * time.Millisecond)
+			}
+			switch rng.Intn(4) {
+			case 0:
+				b = start(true)
+			case 1:
+				spent += b.Draw("t", 99, now)
+			default:
+				write()
+			}
+		}
+		if most := 40 + 10*2.5 + 0.001; spent > most {
+			t.Fatalf("seed %d: %v were granted, %v are allowed", seed, spent, most)
+		}
+	}
+}
--- a/internal/registrar/operate.go
+++ b/internal/registrar/operate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"comethold/internal/cell"
@@ -69,6 +70,58 @@
 	return v
 }
 
+// DutyView is who holds a duty.
+type DutyView struct {
+	Duty   string `json:"duty"`
+	Holder string `json:"holder"` // the member that holds it; empty: nobody
+	Fence  uint64 `json:"fence"`
+}
+
+// DutiesView is what an operator sees of the duties.
+type DutiesView struct {
+	Duties []DutyView `json:"duties"`
+	// Of the usage reports: how many are committed and not taken yet, the oldest of them,
+	// and the newest that is committed.
+	ReportBacklog int    `json:"reportBacklog"`
+	OldestUnsent  uint64 `json:"oldestUnsentWindow,omitempty"`
+	NewestMade    uint64 `json:"newestWindow,omitempty"`
+}
+
+// viewDuties reads the duties of the exchange cell.
+func viewDuties(m *cell.Member) DutiesView {
+	v := DutiesView{Duties: []DutyView{}}
+	for _, k := range m.KeysFrom(keyDuty, keyDuty) {
+		var rec dutyRecord
+		if raw, _ := m.Get(k); wire.Unmarshal(raw.Bytes, &rec) == nil {
+			v.Duties = append(v.Duties, DutyView{strings.TrimPrefix(k, keyDuty), string(rec.Holder), rec.Term})
+		}
+	}
+	for _, k := range reportsOf(m) {
+		v.NewestMade = k.row.Notice.Version
+		if k.row.State != notice.Published {
+			if v.ReportBacklog++; v.ReportBacklog == 1 {
+				v.OldestUnsent = k.row.Notice.Version
+			}
+		}
+	}
+	return v
+}
+
+// readDuties answers with who holds which duty, and how the reports stand.
+func (r *Registrar) readDuties(c echo.Context) error {
+	var v DutiesView
+	found := false
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			v, found = viewDuties(m), true
+		}
+	})
+	if !found {
+		return refuse(c, http.StatusServiceUnavailable, translate(ErrNoProposer))
+	}
+	return c.JSON(http.StatusOK, v)
+}
+
 // readNotices answers with the outbox's backlog, the quarantine and the redrives.
 func (r *Registrar) readNotices(c echo.Context) error {
 	var v NoticesView
--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -23,7 +23,10 @@
 	lendNear    = 8 * time.Millisecond   // how long to wait for a lender of the own region
 	lendFar     = 45 * time.Millisecond  // and for the others
 	lenderEmpty = 150 * time.Millisecond // how long one that had nothing is not asked again
-	quotaReads  = 2                      // goroutines that read datagrams
+	floorEvery  = 250 * time.Millisecond
+	floorPause  = 40 * time.Millisecond // between two writes
+	floorNote   = "quota-floors"        // in the vault
+	quotaReads  = 2                     // goroutines that read datagrams
 )
 
 // quotas is this registrar's part of the tenants' quotas: its slice of their buckets,
@@ -32,18 +35,25 @@
 	rules quota.Rules
 	bank  *quota.Bank
 	conn  net.PacketConn
+	left  map[string]float64 // floors that the former life left, until a share is held
+	wake  chan struct{}      // tokens were taken: floors may have to move
 
-	mu     sync.Mutex
-	at     uint64 // the version whose tenants are in force
-	nextID uint64
-	asked  map[uint64]chan quota.Part
-	empty  map[lender]time.Time // who had nothing for a tenant a moment ago
+	mu      sync.Mutex
+	at      uint64 // the version whose tenants are in force
+	limited bool   // some of them have limits
+	nextID  uint64
+	asked   map[uint64]chan quota.Part
+	empty   map[lender]time.Time // who had nothing for a tenant a moment ago
 }
 
 type lender struct{ addr, tenant string }
 
-func newQuotas(rules quota.Rules) *quotas {
-	return &quotas{rules: rules, bank: quota.NewBank(), nextID: rand.Uint64(), asked: map[uint64]chan quota.Part{}, empty: map[lender]time.Time{}}
+func newQuotas(rules quota.Rules, saved []byte) *quotas {
+	left := map[string]float64{}
+	if saved != nil && wire.Unmarshal(saved, &left) != nil {
+		left = nil
+	}
+	return &quotas{rules: rules, bank: quota.NewBank(), left: left, wake: make(chan struct{}, 1), nextID: rand.Uint64(), asked: map[uint64]chan quota.Part{}, empty: map[lender]time.Time{}}
 }
 
 // setTenants takes the tenants of a configuration that is in force.
@@ -57,17 +67,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if c.Version > q.at {
-		q.at = c.Version
+		q.at, q.limited = c.Version, len(terms) > 0
 		q.bank.SetTenants(terms, time.Now())
 	}
 }
 
+// wanted reports whether there are tenants with limits.
+func (q *quotas) wanted() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.limited
+}
+
 // quotaLoop keeps the lease on this registrar's share, once there are tenants.
 func (r *Registrar) quotaLoop() {
 	fair := 0
 	for {
 		pause := quotaRenew
-		if c := r.board.newest(); c == nil || len(c.Tenants) == 0 {
+		if !r.quotas.wanted() {
 			pause = quotaFirst
 		} else if next, ok := r.renewQuota(fair); ok {
 			fair = next
@@ -102,10 +119,42 @@
 	if now := float64(v.Grant.Permille) / ration.Whole; now != share {
 		r.log.Info(event.QuotaShare).Int("permille", v.Grant.Permille).Int("fair", v.Grant.Fair).Msg("the share of the tenants' quotas moved")
 	}
-	b.Renew(float64(v.Grant.Permille)/ration.Whole, asked.Add(ration.QuotaHold), time.Now())
+	now := time.Now()
+	b.Renew(float64(v.Grant.Permille)/ration.Whole, asked.Add(ration.QuotaHold), now)
+	if q := r.quotas; q.left != nil {
+		b.Restore(q.left, v.Grant.Kept, now)
+		q.left = nil
+	}
 	return v.Grant.Fair, true
 }
 
+// floorLoop keeps on the disk what every slice holds at least, so that a life that
+// begins need not begin with empty ones. While load is usual nothing is written.
+func (r *Registrar) floorLoop() {
+	for {
+		select {
+		case <-r.quotas.wake:
+		case <-time.After(floorEvery):
+		case <-r.quit:
+			return
+		}
+		floors, due := r.quotas.bank.Floors(time.Now())
+		if !due {
+			continue
+		}
+		raw, err := wire.Marshal(floors)
+		if err != nil || r.host.vault.SetNode(floorNote, raw) != nil {
+			continue // the old floors hold
+		}
+		r.quotas.bank.FloorsKept(floors)
+		select {
+		case <-time.After(floorPause):
+		case <-r.quit:
+			return
+		}
+	}
+}
+
 // Cast answers and sends datagrams until the node ends.
 func (r *Registrar) Cast(c net.PacketConn) error {
 	r.quotas.conn = c
@@ -169,6 +218,12 @@
 		need, more := min(w.Need, quota.MostTokens), min(w.More, quota.MostTokens)
 		var back time.Duration
 		p.Granted, back = q.bank.Take(w.Tenant, max(0, need)+max(0, more), now)
+		if p.Granted < need+more {
+			select {
+			case q.wake <- struct{}{}:
+			default:
+			}
+		}
 		if p.Granted < need {
 			p.BackMs = max(1, back.Milliseconds())
 			short = append(short, i)
--- a/internal/registrar/ration.go
+++ b/internal/registrar/ration.go
@@ -65,6 +65,7 @@
 	if _, ok := next[c.Node]; !ok {
 		holders++
 	}
+	g.Kept = table[c.Node].Permille > 0
 	g.Fair = ration.Whole / holders
 	want := c.Permille
 	if c.Fresh {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -96,7 +96,7 @@
 		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
 		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
-		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota()), notices: newNoticeBox(v.Node(inboxNote)), usages: newUsages(n)}
+		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota(), v.Node(floorNote)), notices: newNoticeBox(v.Node(inboxNote)), usages: newUsages(n)}
 	if set.Platform.Address != "" {
 		r.plat = directory.NewPlatform(n, set.Platform.Address)
 	}
@@ -143,7 +143,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.noticeLoop, r.publishLoop, r.usageLoop,
+		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.floorLoop, r.noticeLoop, r.publishLoop, r.usageLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
@@ -234,6 +234,7 @@
 	e.POST("/purge", r.purge)
 	e.GET("/Configuration.Read", r.read)
 	e.GET("/Notices.Read", r.readNotices)
+	e.GET("/Duties.Read", r.readDuties)
 	e.POST("/Notices.Redrive", r.redriveNotice)
 	return e
 }
--- a/internal/registrar/usage.go
+++ b/internal/registrar/usage.go
@@ -31,6 +31,7 @@
 	reportWork    = 900 * time.Millisecond
 	callMost      = time.Second
 	callMargin    = 150 * time.Millisecond // left of the lease when a call must be over
+	noteAgain     = time.Second            // after which what was noted should be applied here
 	callPauseMin  = 150 * time.Millisecond
 	callPauseMost = 2 * time.Second
 	keepReports   = 64 // rows that were sent
@@ -49,6 +50,9 @@
 	net   wire.Net
 	born  time.Time
 
+	// Of the loop alone: rows that the platform took, and when this life noted it.
+	taken map[string]time.Time
+
 	mu      sync.Mutex
 	actedAt time.Time // when this life last called the platform
 	actedBy uint64    // under which fence
@@ -59,7 +63,7 @@
 
 func newUsages(n wire.Net) *usages {
 	now := time.Now()
-	return &usages{book: usage.NewBook(), clock: usage.NewClock(now), life: rand.Uint64(), net: n, born: now}
+	return &usages{book: usage.NewBook(), clock: usage.NewClock(now), life: rand.Uint64(), net: n, born: now, taken: map[string]time.Time{}}
 }
 
 // times are this machine's time of day, and the agreed time or 0.
@@ -247,9 +251,13 @@
 		}
 		var k keyedRow
 		for _, row := range r.reportRows() {
-			if row.row.State != notice.Published {
+			if row.row.State == notice.Published {
+				delete(u.taken, row.key)
+				continue
+			}
+			if at, ok := u.taken[row.key]; !ok || now.Sub(at) > noteAgain {
 				k = row
-				break
+				break // one that was noted a moment ago is only not applied here yet
 			}
 		}
 		if k.key == "" {
@@ -265,6 +273,10 @@
 			}
 			k.row, k.raw = next, encode(next).Bytes
 		}
+		if _, ok := u.taken[k.key]; ok {
+			r.noteTaken(k, term)
+			return
+		}
 		if !r.sendReport(k, term) {
 			return
 		}
@@ -298,12 +310,15 @@
 		}
 		return false
 	}
-	next, err := k.row.Publish(reportOwner(term))
-	if err != nil {
-		return false
-	}
 	r.log.Info(event.ReportSent).Uint64("window", k.row.Notice.Version).Uint64("fence", term).Int("tries", k.row.Tries).Msg("a usage report was taken")
-	return r.propose(ExchangeCell, cell.Txn{Conditions: []cell.Condition{{Key: k.key, Equals: cell.Bytes(k.raw)}},
+	return r.noteTaken(k, term)
+}
+
+// noteTaken notes that the platform took a report.
+func (r *Registrar) noteTaken(k keyedRow, term uint64) bool {
+	r.usages.taken[k.key] = time.Now()
+	next, err := k.row.Publish(reportOwner(term))
+	return err == nil && r.propose(ExchangeCell, cell.Txn{Conditions: []cell.Condition{{Key: k.key, Equals: cell.Bytes(k.raw)}},
 		Ops: []cell.Op{{Kind: cell.OpPut, Key: k.key, Value: encode(next)}}})
 }
 
--- a/internal/scale/scalerun/main.go
+++ b/internal/scale/scalerun/main.go
@@ -25,15 +25,16 @@
 	flag.Float64Var(&s.PerNode, "per-node", 0, "requests of tenants a second at each hollow switch")
 	flag.IntVar(&s.Changes, "changes", 5, "configuration changes to measure")
 	flag.DurationVar(&s.Rest, "rest", 10*time.Second, "how long each state is measured")
+	gather := flag.Float64("gather", 0, "instead, measure one switch with so many gathered queries a second")
 	binary := flag.String("binary", "target/comethold", "the program")
 	flag.Parse()
-	if err := run(s, *binary); err != nil {
+	if err := run(s, *binary, *gather); err != nil {
 		fmt.Fprintln(os.Stderr, "scalerun:", err)
 		os.Exit(1)
 	}
 }
 
-func run(s scale.Size, binary string) error {
+func run(s scale.Size, binary string, gather float64) error {
 	dir, err := os.MkdirTemp("", "comethold-scale-")
 	if err != nil {
 		return err
@@ -43,7 +44,12 @@
 	defer cancel()
 	r := scale.New(s, binary, dir)
 	defer r.Close()
-	rep, err := r.Measure(ctx)
+	var rep any
+	if gather > 0 {
+		rep, err = r.Gather(ctx, gather)
+	} else {
+		rep, err = r.Measure(ctx)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -49,6 +49,67 @@
 
 	tenants map[string]*fleetTenant
 	asked   int
+
+	duties  bool
+	plat    string            // how the platform takes calls of a duty: "" well, busy, silent, reset
+	reports map[uint64]string // by window: what was taken
+	fences  []fenceCall       // in the order in which they came
+}
+
+// fenceCall is a call of a duty that reached the platform.
+type fenceCall struct {
+	holder string
+	fence  uint64
+	at     time.Time
+}
+
+// usage is the platform's side of the reports; it checks what must hold of them. Calls
+// that come while the platform is in trouble don't count.
+func (f *fleet) usage(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(r.Body)
+	fence, err2 := strconv.ParseUint(r.Header.Get("X-Comethold-Fence-Number"), 10, 64)
+	var rep struct {
+		WindowNumber   uint64            `json:"windowNumber"`
+		InstanceCounts map[string]uint64 `json:"instanceCounts"`
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch f.plat {
+	case "busy":
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case "reset":
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil || err2 != nil || json.Unmarshal(raw, &rep) != nil {
+		f.t.Errorf("a report that can't be read: %s", raw)
+	}
+	call := fenceCall{r.Header.Get("X-Comethold-Duty-Holder"), fence, time.Now()}
+	lease := time.Duration(f.settings(f.sorted()[0]).Bounds.LeaseMs) * time.Millisecond
+	other := false
+	for i := len(f.fences) - 1; i >= 0; i-- {
+		o := f.fences[i]
+		if o.fence > fence || o.fence == fence && o.holder != call.holder {
+			f.t.Errorf("%s calls with %d after %s with %d", call.holder, fence, o.holder, o.fence)
+			break
+		}
+		if call.at.Sub(o.at) > lease {
+			break
+		}
+		other = other || o.holder != call.holder
+		if other && o.holder == call.holder {
+			f.t.Errorf("%s, another and again %s act within %v", call.holder, call.holder, lease)
+			break
+		}
+	}
+	f.fences = append(f.fences, call)
+	if old, ok := f.reports[rep.WindowNumber]; ok && old != string(raw) {
+		f.t.Errorf("two reports of window %d: %s and %s", rep.WindowNumber, old, raw)
+	}
+	f.reports[rep.WindowNumber] = string(raw)
+	if f.plat == "lost" { // taken, and nobody is told
+		panic(http.ErrAbortHandler)
+	}
 }
 
 type machine struct {
@@ -76,7 +137,7 @@
 func newFleet(t *testing.T) *fleet {
 	rng := rand.New(rand.NewSource(1))
 	f := &fleet{t: t, dir: t.TempDir(), mesh: newMesh(rng.Float64), machines: map[string]*machine{}, losses: 1,
-		listed: map[string]string{}, statusL: map[string]int{}, acked: map[uint64]string{}, heirs: map[uint64]uint64{}, tenants: map[string]*fleetTenant{}}
+		listed: map[string]string{}, statusL: map[string]int{}, acked: map[uint64]string{}, heirs: map[uint64]uint64{}, tenants: map[string]*fleetTenant{}, reports: map[uint64]string{}}
 	go func() {
 		_ = (&http.Server{Handler: http.HandlerFunc(f.platform)}).Serve(f.mesh.listen("10.200.0.1:80"))
 	}()
@@ -87,7 +148,11 @@
 }
 
 // platform is the stand-in for the list of leafs.
-func (f *fleet) platform(w http.ResponseWriter, _ *http.Request) {
+func (f *fleet) platform(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/usage" {
+		f.usage(w, r)
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := []map[string]any{}
@@ -171,6 +236,10 @@
 		Tolerance: settings.Tolerance{MachineLosses: f.losses},
 		Bounds: settings.Bounds{DrainMs: 3000, GracePeriodS: 6, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20,
 			QuotaWindowS: 5, QuotaOvershoot: 0.1, QuotaSlack: 20}}
+	if f.duties {
+		set.Platform.Duties, set.Platform.DutiesPerS = []string{settings.DutyUsage, "dance"}, 50
+		set.Bounds.LeaseMs, set.Bounds.UsageWindowS, set.Bounds.UsageDelayS = 3000, 5, 10
+	}
 	if f.started {
 		set.FirstStart = false
 	}
@@ -492,6 +561,68 @@
 			}
 		}
 		f.statusL = map[string]int{}
+	case "duties": // usage is to be reported
+		f.duties = true
+	case "platform": // platform ok|busy|reset|lost: how it takes reports from now on
+		f.mu.Lock()
+		f.plat = strings.TrimPrefix(c.Word(0), "ok")
+		f.mu.Unlock()
+	case "kill-holder", "cut-holder": // of the reports; cut-holder platform: from the platform alone
+		f.mu.Lock()
+		var m *machine
+		if n := len(f.fences); n > 0 {
+			m = f.machines[f.fences[n-1].holder]
+		}
+		f.mu.Unlock()
+		if m == nil || m.stop == nil {
+			return errors.New("nobody has called yet")
+		}
+		switch {
+		case c.Verb == "kill-holder":
+			f.mesh.down(m.addr, "")
+			m.stop()
+		case c.Word(0) == "platform":
+			f.mesh.mu.Lock()
+			f.mesh.cut[[2]string{m.addr, "10.200.0.1"}] = true
+			f.mesh.cut[[2]string{"10.200.0.1", m.addr}] = true
+			f.mesh.mu.Unlock()
+		default:
+			f.mesh.mu.Lock()
+			for _, b := range f.machines {
+				if b != m && b.disk {
+					f.mesh.cut[[2]string{m.addr, b.addr}] = true
+					f.mesh.cut[[2]string{b.addr, m.addr}] = true
+				}
+			}
+			f.mesh.mu.Unlock()
+		}
+	case "want-reports": // want-reports N WITHIN: so many windows in a row up to now were reported, the last that is due among them
+		return f.until(c.Millis(1), c.Word(0)+" windows in a row", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			due := uint64(time.Now().Add(-15*time.Second).UnixNano() / int64(5*time.Second))
+			for i := range uintOf(0) {
+				if _, ok := f.reports[due-i]; !ok {
+					return false
+				}
+			}
+			return true
+		})
+	case "want-usage": // want-usage TENANT off=: all reports together name the requests that ran, to so many percent
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		sum := 0.0
+		for _, raw := range f.reports {
+			var rep struct {
+				InstanceCounts map[string]float64 `json:"instanceCounts"`
+			}
+			_ = json.Unmarshal([]byte(raw), &rep)
+			sum += rep.InstanceCounts[c.Word(0)]
+		}
+		ran := float64(len(f.tenants[c.Word(0)].ran))
+		if ran == 0 || (sum-ran)/ran*100 > c.Number("off", 0) || (ran-sum)/ran*100 > c.Number("off", 0) {
+			return fmt.Errorf("reported were %v of %v", sum, ran)
+		}
 	case "want-backlog": // want-backlog N WITHIN: rows not published, and every registrar has decided the newest version
 		last := ""
 		err := f.until(c.Millis(1), "the outbox", func() bool {
