--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,7 +3,12 @@
 // part carries a version, and a holder only ever moves to a higher one.
 package feed
 
-import "comethold/internal/notice"
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"comethold/internal/notice"
+)
 
 // Stamp orders leaf lists: the term of the duty that made it, then its count.
 type Stamp struct {
@@ -57,6 +62,16 @@
 	Cut     []string        `cbor:"4,keyasint,omitempty"`
 }
 
+// MarksSum is what the positions of marks, by index, are compared by; 0 for none.
+func MarksSum(slots map[string]uint64) (sum uint64) {
+	for ix, slot := range slots {
+		h := fnv.New64a()
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(ix), slot))
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
 // Mark says why a leaf is drained.
 type Mark struct {
 	Why string `cbor:"1,keyasint"`
@@ -175,6 +190,9 @@
 	Switches int               `cbor:"5,keyasint,omitempty"`
 	Recall   uint64            `cbor:"6,keyasint,omitempty"`
 	Notice   uint64            `cbor:"7,keyasint,omitempty"`
+	// MarksSum stands for the positions of all marks held; Marks names them only for a
+	// while after a registrar said that it does not know what the sum stands for.
+	MarksSum uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Report is what a switch noticed about a leaf.
@@ -206,9 +224,11 @@
 	Gone    []string `cbor:"6,keyasint,omitempty"`
 	Recalls *Recalls `cbor:"7,keyasint,omitempty"`
 	Notices *Notices `cbor:"8,keyasint,omitempty"`
+	// NeedMarks: the sender can't tell which marks are lacking from their sum.
+	NeedMarks bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Empty reports whether there is no news.
 func (n *News) Empty() bool {
-	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0 && n.Recalls == nil && n.Notices == nil
+	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0 && n.Recalls == nil && n.Notices == nil && !n.NeedMarks
 }
--- a/internal/office/state.go
+++ b/internal/office/state.go
@@ -34,15 +34,18 @@
 	listed   bool
 	leafs    map[string]feed.Leaf
 	marks    map[string]feed.Marks
-	slot     uint64 // of the directory
-	nodes    map[string]feed.Node
-	switches int
-	counted  []headcount
-	recalls  []feed.Recall // the newest, in order
-	floor    uint64        // recalls up to here are not in recalls
-	inbox    *notice.Inbox
-	noticed  uint64        // position of the newest notice that was told
-	deferred []feed.Notice // those whose prerequisite is not here yet
+	marksSum uint64
+	// tellMarks is until when the positions of all marks are told, not their sum alone.
+	tellMarks time.Time
+	slot      uint64 // of the directory
+	nodes     map[string]feed.Node
+	switches  int
+	counted   []headcount
+	recalls   []feed.Recall // the newest, in order
+	floor     uint64        // recalls up to here are not in recalls
+	inbox     *notice.Inbox
+	noticed   uint64        // position of the newest notice that was told
+	deferred  []feed.Notice // those whose prerequisite is not here yet
 
 	onNodes   func([]feed.Node)
 	onPlan    func(*numbering.Plan)
@@ -61,6 +64,10 @@
 // counts when shares are divided: what it spent stays in others' windows.
 const countedFor = 15 * time.Second
 
+// tellMarksFor is how long the positions of all marks are told to a registrar that asked
+// for them: it may ask once in that time at the most.
+const tellMarksFor = 10 * time.Second
+
 // keepRecalls bounds the purges that a node remembers.
 const keepRecalls = 4096
 
@@ -73,19 +80,27 @@
 func (s *state) have() feed.Have {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := feed.Have{Nodes: s.slot, Switches: s.switches, Recall: s.pos.Load(), Notice: s.noticed, Marks: map[string]uint64{}}
+	h := feed.Have{Nodes: s.slot, Switches: s.switches, Recall: s.pos.Load(), Notice: s.noticed, MarksSum: s.marksSum}
 	if p := s.plan.Load(); p != nil {
 		h.Config = p.Version
 	}
 	if s.listed {
 		h.List = s.list
 	}
-	for ix, m := range s.marks {
-		h.Marks[ix] = m.Slot
+	if time.Now().Before(s.tellMarks) {
+		h.Marks = s.markSlots()
 	}
 	return h
 }
 
+func (s *state) markSlots() map[string]uint64 {
+	out := make(map[string]uint64, len(s.marks))
+	for ix, m := range s.marks {
+		out[ix] = m.Slot
+	}
+	return out
+}
+
 // take brings news into force.
 func (s *state) take(n *feed.News) {
 	s.mu.Lock()
@@ -101,6 +116,9 @@
 		s.leafs = feed.Merge(s.leafs, n.List.Leafs, n.List.Gone, n.List.Delta, func(l feed.Leaf) string { return l.ID })
 		s.frame.SetList(s.leafs)
 	}
+	if n.NeedMarks {
+		s.tellMarks = time.Now().Add(tellMarksFor)
+	}
 	if len(n.Marks) > 0 || len(n.Gone) > 0 {
 		for _, m := range n.Marks {
 			if old, ok := s.marks[m.Index]; !ok || old.Slot < m.Slot {
@@ -118,6 +136,7 @@
 				}
 			}
 		}
+		s.marksSum = feed.MarksSum(s.markSlots())
 		s.frame.SetMarks(drained)
 	}
 	if n.Nodes != nil && n.Nodes.Slot > s.slot && (!n.Nodes.Delta || n.Nodes.Base == s.slot) {
--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -22,6 +22,7 @@
 	leafs feed.Ledger[feed.Leaf]
 	keep  func(*feed.List) // stores a new list for the next start
 	marks map[string]feed.Marks
+	held  marksHeld
 	nodes feed.Ledger[feed.Node]
 	table map[string]feed.Node // the directory by name; never changed, only replaced
 	up    int                  // nodes that serve clients and are not down
@@ -135,6 +136,42 @@
 	return b.list
 }
 
+// marksHeld knows what the sums of marks stand for that callers name: those of this
+// board's own last states, and of what callers have told.
+type marksHeld struct {
+	sum  uint64
+	by   map[uint64]map[string]uint64
+	line []uint64 // oldest first
+}
+
+// keepSums bounds the sums that are known.
+const keepSums = 64
+
+func (m *marksHeld) know(sum uint64, slots map[string]uint64) {
+	if m.by == nil {
+		m.by = map[uint64]map[string]uint64{}
+	}
+	if _, ok := m.by[sum]; ok {
+		return
+	}
+	m.by[sum] = slots
+	if m.line = append(m.line, sum); len(m.line) > keepSums {
+		delete(m.by, m.line[0])
+		m.line = m.line[1:]
+	}
+}
+
+// marksMovedLocked notes what this board holds now.
+func (b *board) marksMovedLocked() {
+	slots := make(map[string]uint64, len(b.marks))
+	for ix, m := range b.marks {
+		slots[ix] = m.Slot
+	}
+	b.held.sum = feed.MarksSum(slots)
+	b.held.know(b.held.sum, slots)
+	b.changedLocked()
+}
+
 func (b *board) setMarks(m feed.Marks) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -148,7 +185,7 @@
 		m.Slot = slot
 	}
 	b.marks[m.Index] = m
-	b.changedLocked()
+	b.marksMovedLocked()
 }
 
 func (b *board) dropMarks(index string) {
@@ -156,7 +193,7 @@
 	defer b.mu.Unlock()
 	if _, ok := b.marks[index]; ok {
 		delete(b.marks, index)
-		b.changedLocked()
+		b.marksMovedLocked()
 	}
 }
 
@@ -234,13 +271,39 @@
 // callerKey is the same for callers that lack the same.
 func callerKey(call *feed.Call, stale bool) string {
 	h := &call.Have
-	k := fmt.Sprint(stale, call.Node.Zone, h.Config, h.List, h.Nodes, h.Switches, h.Recall, h.Notice)
+	k := fmt.Sprint(stale, call.Node.Zone, h.Config, h.List, h.Nodes, h.Switches, h.Recall, h.Notice, h.MarksSum, h.Marks != nil)
 	for _, ix := range slices.Sorted(maps.Keys(h.Marks)) {
 		k += fmt.Sprint(" ", ix, "=", h.Marks[ix])
 	}
 	return k
 }
 
+// markNews adds the marks that the caller lacks.
+func (b *board) markNews(h feed.Have, n *feed.News) {
+	held, known := h.Marks, h.Marks != nil || h.MarksSum == 0
+	switch {
+	case h.Marks != nil:
+		b.held.know(h.MarksSum, h.Marks)
+	case h.MarksSum == b.held.sum:
+		return
+	case !known:
+		if held, known = b.held.by[h.MarksSum]; !known {
+			n.NeedMarks = true
+			return
+		}
+	}
+	for ix, m := range b.marks {
+		if slot, ok := held[ix]; !ok || slot < m.Slot {
+			n.Marks = append(n.Marks, m)
+		}
+	}
+	for ix := range held {
+		if _, ok := b.marks[ix]; !ok && len(b.marks) > 0 {
+			n.Gone = append(n.Gone, ix)
+		}
+	}
+}
+
 // newerLocked collects what the caller lacks.
 func (b *board) newerLocked(call *feed.Call) feed.News {
 	h := call.Have
@@ -259,16 +322,7 @@
 		l.Leafs, l.Gone, l.Delta = b.leafs.Since(h.List, func(feed.Leaf) bool { return true })
 		n.List = l
 	}
-	for ix, m := range b.marks {
-		if slot, ok := h.Marks[ix]; !ok || slot < m.Slot {
-			n.Marks = append(n.Marks, m)
-		}
-	}
-	for ix := range h.Marks {
-		if _, ok := b.marks[ix]; !ok && len(b.marks) > 0 {
-			n.Gone = append(n.Gone, ix)
-		}
-	}
+	b.markNews(h, &n)
 	if at := b.nodes.At().Rev; b.nodes.Len() > 0 && at > h.Nodes {
 		ns := &feed.Nodes{Slot: at, Switches: b.up, Base: h.Nodes}
 		ns.All, ns.Gone, ns.Delta = b.nodes.Since(feed.Stamp{Rev: h.Nodes}, func(n feed.Node) bool {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -188,3 +189,64 @@
 		t.Errorf("suspected: %v", r.suspects)
 	}
 }
+
+// TestMarkSums: whatever a holder's sum stands for, be it known here or not, it gets what
+// it lacks and no more, and nobody who lacks nothing is answered at once again and again.
+func TestMarkSums(t *testing.T) {
+	b := newBoard()
+	set := func(ix string, slot uint64, leafs ...string) {
+		m := feed.Marks{Index: ix, Slot: slot, Drained: map[string]feed.Mark{}}
+		for _, l := range leafs {
+			m.Drained[l] = feed.Mark{Why: feed.WhySilent}
+		}
+		b.setMarks(m)
+	}
+	set("a", 1)
+	set("b", 1, "x")
+	ask := func(h feed.Have) feed.News {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.newerLocked(&feed.Call{Have: h})
+	}
+	have := func(slots map[string]uint64) feed.Have { return feed.Have{MarksSum: feed.MarksSum(slots)} }
+	if n := ask(feed.Have{}); len(n.Marks) != 2 {
+		t.Errorf("a newcomer gets %v", n)
+	}
+	both := map[string]uint64{"a": 1, "b": 1}
+	if n := ask(have(both)); !n.Empty() {
+		t.Errorf("who has all gets %v", n)
+	}
+	set("b", 5, "x", "y")
+	if n := ask(have(both)); len(n.Marks) != 1 || n.Marks[0].Slot != 5 || n.NeedMarks {
+		t.Errorf("who has what was here before gets %v", n)
+	}
+	// From another registrar, newer in one index and older in the other.
+	strange := map[string]uint64{"a": 9, "b": 2}
+	if n := ask(have(strange)); !n.NeedMarks || n.Empty() || len(n.Marks) > 0 {
+		t.Errorf("an unknown sum gets %v", n)
+	}
+	told := have(strange)
+	told.Marks = strange
+	if n := ask(told); len(n.Marks) != 1 || n.Marks[0].Index != "b" {
+		t.Errorf("who tells its positions gets %v", n)
+	}
+	ahead := map[string]uint64{"a": 9, "b": 9}
+	told = have(ahead)
+	told.Marks = ahead
+	if n := ask(told); !n.Empty() {
+		t.Errorf("who is ahead gets %v", n)
+	}
+	if n := ask(have(ahead)); !n.Empty() {
+		t.Errorf("who is ahead, by its sum, gets %v", n)
+	}
+	b.dropMarks("b")
+	if n := ask(have(ahead)); len(n.Gone) != 1 || len(n.Marks) != 0 {
+		t.Errorf("an index is gone: %v", n)
+	}
+	for slot := range uint64(3 * keepSums) {
+		set("a", 10+slot, "z", strconv.FormatUint(slot, 10))
+	}
+	if len(b.held.by) > keepSums || len(b.held.line) > keepSums {
+		t.Errorf("%d sums are known", len(b.held.by))
+	}
+}
