--- a/cmd/comethold/operate.go
+++ b/cmd/comethold/operate.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"comethold/internal/settings"
@@ -92,6 +94,33 @@
 			return operate(c, at, http.MethodGet, "/Duties.Read", nil)
 		},
 	}
+	var service, class string
+	var seconds int
+	var saved bool
+	estimates := &cobra.Command{
+		Use:   "estimates",
+		Short: "Show what slow lookups would have taken on other copies, and where copies differ",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if saved {
+				return operate(c, at, http.MethodGet, "/Estimates.Saved", nil)
+			}
+			q := url.Values{}
+			for k, v := range map[string]string{"service": service, "class": class} {
+				if v != "" {
+					q.Set(k, v)
+				}
+			}
+			if seconds > 0 {
+				q.Set("seconds", strconv.Itoa(seconds))
+			}
+			return operate(c, at, http.MethodGet, "/Estimates.Read?"+q.Encode(), nil)
+		},
+	}
+	estimates.Flags().StringVar(&service, "service", "", "of this shard alone")
+	estimates.Flags().StringVar(&class, "class", "", "urgent, bulk or archive")
+	estimates.Flags().IntVar(&seconds, "seconds", 0, "slow lookups of so many seconds back")
+	estimates.Flags().BoolVar(&saved, "saved", false, "what this registrar wrote for its zone, every two minutes")
 	var order struct {
 		EventID       string `json:"eventId"`
 		Operator      string `json:"operator"`
@@ -112,8 +141,8 @@
 	f.StringVar(&order.Operator, "operator", "", "who orders it")
 	f.StringVar(&order.CorrelationID, "correlation", "", "the case that it belongs to")
 	f.StringVar(&order.Action, "action", "resend", "resend or close")
-	for _, c := range []*cobra.Command{notices, redrive, duties} {
+	for _, c := range []*cobra.Command{notices, redrive, duties, estimates} {
 		c.Flags().StringVar(&at, "at", "", "the control address of a registrar (this machine's, if absent)")
 	}
-	return []*cobra.Command{notices, redrive, duties}
+	return []*cobra.Command{notices, redrive, duties, estimates}
 }
--- a/cmd/comethold/run.go
+++ b/cmd/comethold/run.go
@@ -190,6 +190,7 @@
 	g.Add(s.Feed, leave)
 	g.Add(s.Sweep, leave)
 	g.Add(s.Count, leave)
+	g.Add(s.Follow, leave)
 	g.Add(func() error { return s.Beat(udp) }, leave)
 	if err := serve(&g, set.Listen.Readiness, s.Readiness()); err != nil {
 		return err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	ReportSent        Number = 406
 	ReportFailed      Number = 407
 	DutyUnknown       Number = 408
+	ExportFailed      Number = 409
 	LeafMarked        Number = 501
 	LeafCleared       Number = 502
 	ListChanged       Number = 503
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -232,3 +232,10 @@
 func (n *News) Empty() bool {
 	return n.Config == nil && n.List == nil && len(n.Marks) == 0 && n.Nodes == nil && len(n.Gone) == 0 && n.Recalls == nil && n.Notices == nil && !n.NeedMarks
 }
+
+// EstimatesAsk asks a switch what it knows of lookups: of one service and class, or of
+// all where they are empty.
+type EstimatesAsk struct {
+	Service string `cbor:"1,keyasint,omitempty"`
+	Class   string `cbor:"2,keyasint,omitempty"`
+}
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"comethold/internal/estimate"
 	"comethold/internal/numbering"
 	"comethold/internal/toll"
 	"comethold/internal/trunk"
@@ -23,6 +24,7 @@
 // Pacing of tries. Ours; see docs/design.md.
 const (
 	hedgeFrom   = 0.95                  // the share of answers that come before a second leaf is asked
+	shadowKeep  = 0.8                   // of the budget stays when a copy is asked only to compare
 	hedgeKeep   = 0.6                   // of the budget stays for tries after a failure
 	cutMargin   = 12 * time.Millisecond // before the target, to get the answer to the client
 	freeTries   = 3                     // tries that never left this node
@@ -40,6 +42,11 @@
 	// bounded; if it may not, it says when to come back.
 	Permit func(service string, until time.Time) (ok bool, back time.Duration)
 
+	// Watch, if set, gets what lookups of routes with a class took; Shadow is the share of
+	// them for which another copy is asked too.
+	Watch  *estimate.Collector
+	Shadow float64
+
 	mu    sync.Mutex
 	paces map[string]*pace
 }
@@ -84,6 +91,7 @@
 
 type shard struct {
 	service string
+	pair    *pairing // of the answers, where they are watched
 	tried   []*trunk.Trunk
 	sent    int // arrivals at leafs
 	free    int // tries that did not leave
@@ -171,6 +179,9 @@
 	r.Once = !l.Repeatable()
 	for i, s := range services {
 		k.shards[i].service = s
+		if a.watches(l) {
+			k.shards[i].pair = &pairing{}
+		}
 		k.launch(i, start)
 	}
 	k.wait(start, least, gathered)
@@ -209,6 +220,7 @@
 	s.since, s.newest = now, t
 	s.hedgeAt = now.Add(k.usual)
 	k.dueBy(s.hedgeAt)
+	pair := s.pair
 	go func() {
 		if k.Permit != nil {
 			if ok, back := k.Permit(t.Leaf().Service, k.req.Deadline); !ok {
@@ -218,8 +230,12 @@
 			}
 		}
 		began := time.Now()
+		busy := pair != nil && k.frame.Shared(t)
 		a, err := k.frame.Call(t, k.req)
 		k.ch <- outcome{shard: i, a: a, err: err, took: time.Since(began)}
+		if pair != nil {
+			k.watch(pair, t, busy, time.Since(began), a, err)
+		}
 	}()
 }
 
@@ -369,8 +385,12 @@
 	switch {
 	case o.err == nil && o.a.Good():
 		k.ran(now.Add(-o.took))
+		first := s.part == nil
 		k.fill(s, o.a)
 		k.pace.add(o.took)
+		if first && s.pair != nil && len(s.tried) == 1 && rand.Float64() < k.Shadow && k.line.Repeatable() && !k.frame.Crowded(s.service) {
+			k.again(o.shard, shadowKeep, now)
+		}
 		return
 	case errors.Is(o.err, errNoTurn):
 		s.sent--
--- a/internal/numbering/config.go
+++ b/internal/numbering/config.go
@@ -58,6 +58,8 @@
 	FanoutServices    []string   `json:"fanoutServices,omitempty" validate:"unique,dive,required"`
 	ResultCount       int64      `json:"resultCount,omitempty" validate:"min=0,max=10000000"`
 	MinimumShardShare float64    `json:"minimumShardShare,omitempty" validate:"min=0,max=1"`
+	// LookupClass, if given, is what kind of lookups estimates keep apart.
+	LookupClass string `json:"lookupClass,omitempty" validate:"omitempty,oneof=urgent bulk archive"`
 	// Public: requests need no key.
 	Public bool `json:"public,omitempty"`
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -143,7 +143,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.floorLoop, r.noticeLoop, r.publishLoop, r.usageLoop,
+		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.floorLoop, r.noticeLoop, r.publishLoop, r.usageLoop, r.exportLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
@@ -235,6 +235,8 @@
 	e.GET("/Configuration.Read", r.read)
 	e.GET("/Notices.Read", r.readNotices)
 	e.GET("/Duties.Read", r.readDuties)
+	e.GET("/Estimates.Read", r.readEstimates)
+	e.GET("/Estimates.Saved", r.savedEstimates)
 	e.POST("/Notices.Redrive", r.redriveNotice)
 	return e
 }
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -39,6 +39,8 @@
 	Changes int
 	// Rest is how long what is idle, and then what is loaded, is measured.
 	Rest time.Duration
+	// Estimates has lookups followed.
+	Estimates bool
 }
 
 // Usage is what one process used while it was measured.
@@ -175,8 +177,10 @@
 ratePerS = 1000
 [log]
 level = "error"
+[estimates]
+enabled = %t
 `, name, ip, zone, "region-"+zone[len(zone)-1:], r.base, r.base+15, strings.Join(r.seeds, `","`), data, zones.String(),
-		ip, r.base+21, ip, r.base+22, control, r.base+23)
+		ip, r.base+21, ip, r.base+22, control, r.base+23, r.size.Estimates)
 }
 
 func (r *Run) process(program, name, ip, zone string, disk bool) error {
@@ -234,7 +238,7 @@
 	}
 	services = append(services, map[string]any{"name": "nobody", "connectionLimit": 10})
 	routes := []map[string]any{{"name": "gathered", "hostname": "h.example", "pathPrefix": "/all/", "routeKind": "safe", "timeoutMs": 1000 + r.version%7,
-		"targetLatencyMs": 88, "maxAttempts": 2, "fanoutServices": shards, "resultCount": 40, "minimumShardShare": 0.5},
+		"targetLatencyMs": 88, "maxAttempts": 2, "fanoutServices": shards, "resultCount": 40, "minimumShardShare": 0.5, "lookupClass": "urgent"},
 		{"name": "metered", "hostname": "h.example", "pathPrefix": "/metered/", "routeKind": "safe", "timeoutMs": 500, "targetLatencyMs": 400, "maxAttempts": 1, "service": "nobody"}}
 	for i := range r.size.Routes {
 		routes = append(routes, map[string]any{"name": fmt.Sprint("r", i), "hostname": "h.example", "pathPrefix": fmt.Sprintf("/r%d/", i), "routeKind": "safe",
--- a/internal/scale/scalerun/main.go
+++ b/internal/scale/scalerun/main.go
@@ -25,6 +25,7 @@
 	flag.Float64Var(&s.PerNode, "per-node", 0, "requests of tenants a second at each hollow switch")
 	flag.IntVar(&s.Changes, "changes", 5, "configuration changes to measure")
 	flag.DurationVar(&s.Rest, "rest", 10*time.Second, "how long each state is measured")
+	flag.BoolVar(&s.Estimates, "estimates", false, "lookups are followed for estimates")
 	gather := flag.Float64("gather", 0, "instead, measure one switch with so many gathered queries a second")
 	binary := flag.String("binary", "target/comethold", "the program")
 	flag.Parse()
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -51,6 +51,7 @@
 	asked   int
 
 	duties  bool
+	follow  bool              // lookups, for estimates
 	plat    string            // how the platform takes calls of a duty: "" well, busy, silent, reset
 	reports map[uint64]string // by window: what was taken
 	fences  []fenceCall       // in the order in which they came
@@ -236,6 +237,7 @@
 		Tolerance: settings.Tolerance{MachineLosses: f.losses},
 		Bounds: settings.Bounds{DrainMs: 3000, GracePeriodS: 6, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20,
 			QuotaWindowS: 5, QuotaOvershoot: 0.1, QuotaSlack: 20}}
+	set.Estimates.Enabled = f.follow
 	if f.duties {
 		set.Platform.Duties, set.Platform.DutiesPerS = []string{settings.DutyUsage, "dance"}, 50
 		set.Bounds.LeaseMs, set.Bounds.UsageWindowS, set.Bounds.UsageDelayS = 3000, 5, 10
@@ -279,6 +281,7 @@
 	m.sw, m.born = sw, true
 	go func() { _ = sw.Feed() }()
 	go func() { _ = sw.Count() }()
+	go func() { _ = sw.Follow() }()
 	go func() { _ = sw.Beat(f.mesh.cast(inner(settings.Switch))) }()
 	serve(inner(settings.Switch), sw.Inner())
 	m.stop = func() {
@@ -324,7 +327,7 @@
 		raw, _ := json.Marshal(slices.Collect(maps.Values(f.tenants)))
 		tenants = `"tenants":` + string(raw) + `,`
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
 }
 
 // order sends a configuration to a machine, again and again on 503 if patient.
@@ -561,6 +564,30 @@
 			}
 		}
 		f.statusL = map[string]int{}
+	case "estimates": // lookups are followed
+		f.follow = true
+	case "want-estimates": // want-estimates NODES SAMPLES AT: so many switches answer, and know of so many lookups at least
+		_, raw := f.call(f.pick(c.Word(2))[0], http.MethodGet, "/Estimates.Read?class=urgent", 0, "")
+		var v registrar.EstimatesView
+		if err := json.Unmarshal([]byte(raw), &v); err != nil {
+			return err
+		}
+		n := uint64(0)
+		for _, k := range v.Copies {
+			n += k.Estimate.Samples
+		}
+		if v.Nodes != int(uintOf(0)) || n < uintOf(1) {
+			return fmt.Errorf("%d nodes, %d samples: %.300s", v.Nodes, n, raw)
+		}
+	case "want-saved": // want-saved LINES AT: so many exports are on that disk at least
+		_, raw := f.call(f.pick(c.Word(1))[0], http.MethodGet, "/Estimates.Saved", 0, "")
+		var lines []registrar.EstimatesView
+		if err := json.Unmarshal([]byte(raw), &lines); err != nil {
+			return err
+		}
+		if len(lines) < int(uintOf(0)) {
+			return fmt.Errorf("%d lines", len(lines))
+		}
 	case "duties": // usage is to be reported
 		f.duties = true
 	case "platform": // platform ok|busy|reset|lost: how it takes reports from now on
--- a/internal/scenario/plane_test.go
+++ b/internal/scenario/plane_test.go
@@ -60,6 +60,8 @@
 	wg       sync.WaitGroup
 	conns    []net.Conn
 	quit     chan struct{}
+	alike    bool // all leafs hold the same records
+	set      *settings.Settings
 }
 
 func newPlane(t *testing.T) *plane {
@@ -67,6 +69,7 @@
 	set := &settings.Settings{NodeName: "n1", IPAddress: "10.0.0.1", AvailabilityZone: "a", RegionName: "r",
 		InternalPortRange: []int{7000, 7010}, SeedNodes: []string{"10.0.0.2:80"},
 		Bounds: settings.Bounds{RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20}}
+	p.set = set
 	p.sw = switchboard.New(set, event.Nop(), func(_, _ time.Duration) func(context.Context, string, string) (net.Conn, error) { return p.dial })
 	return p
 }
@@ -123,6 +126,9 @@
 		}
 		stamp := "X-Comethold-Server-Stamp: " + l.ID + "." + id + "\r\n"
 		body := strings.Repeat(fmt.Sprintf("%-16s", l.ID)[:16], 2)
+		if p.alike {
+			body = fmt.Sprintf("%016d%016d%016d", 3, 1, 2)
+		}
 		switch {
 		case forgot: // an idle connection that the leaf no longer knows
 			return
@@ -144,6 +150,12 @@
 		}
 		time.Sleep(work)
 		switch mode {
+		case "empty":
+			say("200 OK", stamp, "")
+		case "double":
+			say("200 OK", stamp, body+body[:16])
+		case "stale":
+			say("200 OK", stamp, body[16:])
 		case "error", "lie":
 			say("500 Internal Server Error", stamp, "")
 		case "cut":
@@ -254,6 +266,9 @@
 		if n := c.Opts["gather"]; n != "" {
 			r["fanoutServices"], r["resultCount"] = strings.Split(c.Word(3), ","), c.Number("gather", 1)
 			r["minimumShardShare"] = c.Number("least", 1)
+			if class := c.Opts["class"]; class != "" {
+				r["lookupClass"] = class
+			}
 		} else {
 			r["service"] = c.Word(3)
 		}
@@ -261,6 +276,45 @@
 			r["public"] = true
 		}
 		p.routes = append(p.routes, r)
+	case "estimates": // estimates SHADOW: from the start, lookups are followed; leafs hold the same records
+		p.alike = true
+		p.set.Estimates.Enabled = true
+		p.set.Estimates.ShadowShare, _ = strconv.ParseFloat(c.Word(0), 64)
+		p.sw = switchboard.New(p.set, event.Nop(), func(_, _ time.Duration) func(context.Context, string, string) (net.Conn, error) { return p.dial })
+		go func() { _ = p.sw.Follow() }()
+	case "want-estimate": // want-estimate LEAF CLASS MS: within a fifth, 0 for unknown; the newest slow lookup names it too
+		v := p.sw.Estimates(feed.EstimatesAsk{Class: c.Word(1)})
+		for _, k := range v.Sketches {
+			if k.Key.Leaf == c.Word(0) && k.Key.Load == 0 {
+				e := k.Sketch.Estimate()
+				if want := c.Millis(2); want == 0 && e.Known() || want > 0 && (!e.Known() || e.Median < want*4/5 || e.Median > want*6/5) {
+					return fmt.Errorf("%+v", e)
+				}
+				return nil
+			}
+		}
+		return errors.New("nothing is known of it")
+	case "want-slow": // want-slow LEAF OTHER real=MS: a slow lookup there, with an estimate for the other and what that really took
+		for _, s := range p.sw.Estimates(feed.EstimatesAsk{}).Slow {
+			for _, o := range s.Others {
+				if s.Key.Leaf == c.Word(0) && o.Leaf == c.Word(1) && o.Estimate.Known() && o.Estimate.Covers(o.Real) {
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("none: %+v", p.sw.Estimates(feed.EstimatesAsk{}).Slow)
+	case "want-parts": // want-parts "LEAF KIND"...: exactly these differ
+		got := p.sw.Estimates(feed.EstimatesAsk{}).Tally.Parts
+		for i := 0; i+1 < len(c.Words); i += 2 {
+			k := c.Words[i] + " " + c.Words[i+1]
+			if got[k] == 0 {
+				return fmt.Errorf("no %s: %v", k, got)
+			}
+			delete(got, k)
+		}
+		if len(got) > 0 {
+			return fmt.Errorf("and %v", got)
+		}
 	case "tenant": // tenant NAME KEY,... : or its keys from now on; no keys: it is gone
 		p.tenants = slices.DeleteFunc(p.tenants, func(t map[string]any) bool { return t["name"] == c.Word(0) })
 		if c.Word(1) != "" {
@@ -340,6 +394,7 @@
 			p.routes = nil
 			p.push()
 			close(p.quit)
+			p.sw.Close()
 			time.Sleep(time.Minute)
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 	Tolerance         Tolerance         `toml:"faultTolerance"`
 	Platform          Platform          `toml:"platformApi"`
 	Log               Log               `toml:"log"`
+	Estimates         Estimates         `toml:"estimates"`
 }
 
 // Content is the mode of a deployment that delivers cacheable objects.
@@ -97,6 +98,13 @@
 	MaxLagMs   int64    `toml:"maxLagMs" validate:"min=0"`
 }
 
+// Estimates says whether lookups of routes with a class are followed, and which share of
+// them another copy is asked too, within the retry budget, to see what it answers.
+type Estimates struct {
+	Enabled     bool    `toml:"enabled"`
+	ShadowShare float64 `toml:"shadowShare" validate:"min=0,max=0.05"`
+}
+
 // Log sets what is logged: trace, debug, info, warn or error.
 type Log struct {
 	Level string `toml:"level" validate:"omitempty,oneof=trace debug info warn error"`
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"comethold/internal/announce"
+	"comethold/internal/estimate"
 	"comethold/internal/event"
+	"comethold/internal/feed"
 	"comethold/internal/gather"
 	"comethold/internal/office"
 	"comethold/internal/settings"
@@ -43,6 +45,9 @@
 func New(set *settings.Settings, log *event.Log, n wire.Net) *Switch {
 	o := office.New(set, log, settings.Switch, n)
 	asker := gather.NewAsker(o.Frame, o.Toll)
+	if set.Estimates.Enabled {
+		asker.Watch, asker.Shadow = estimate.NewCollector(time.Now()), set.Estimates.ShadowShare
+	}
 	s := &Switch{Office: o, asker: asker}
 	var objects *announce.Office
 	if set.DeploymentMode == settings.Content {
@@ -77,6 +82,40 @@
 	return nil
 }
 
+// Follow works off what lookups took until the node ends.
+func (s *Switch) Follow() error {
+	if s.asker.Watch != nil {
+		s.asker.Watch.Run(s.Quit())
+	}
+	<-s.Quit()
+	return nil
+}
+
+// Estimates returns what this node knows of lookups; nothing where they are not followed.
+func (s *Switch) Estimates(ask feed.EstimatesAsk) estimate.View {
+	if s.asker.Watch == nil {
+		return estimate.Merge()
+	}
+	return s.asker.Watch.View(ask.Service, ask.Class)
+}
+
+// Inner serves other nodes.
+func (s *Switch) Inner() *echo.Echo {
+	e := s.Office.Inner()
+	e.POST("/estimates", func(c echo.Context) error {
+		var ask feed.EstimatesAsk
+		if err := wire.Read(c.Request().Body, &ask); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		b, err := wire.Marshal(s.Estimates(ask))
+		if err != nil {
+			return err
+		}
+		return c.Blob(http.StatusOK, wire.ContentType, wire.Pack(b))
+	})
+	return e
+}
+
 // Sweep does the regular small work until the node ends.
 func (s *Switch) Sweep() error {
 	t := time.NewTicker(sweepEvery)
--- a/internal/trunk/choice.go
+++ b/internal/trunk/choice.go
@@ -146,6 +146,14 @@
 	return g != nil && g.full > fullBar
 }
 
+// Shared reports whether other calls of this node are at work at a leaf, or its service
+// turns calls away.
+func (f *Frame) Shared(t *Trunk) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.active > 1 || t.group.full > fullBar
+}
+
 // Mean is how long calls of a service take.
 func (f *Frame) Mean(service string) time.Duration {
 	f.mu.Lock()
