--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -142,13 +142,14 @@
 		if !due {
 			continue
 		}
-		raw, err := wire.Marshal(floors)
-		if err != nil || r.host.vault.SetNode(floorNote, raw) != nil {
-			continue // the old floors hold
+		pause := floorPause
+		if raw, err := wire.Marshal(floors); err == nil && r.host.vault.SetNode(floorNote, raw) == nil {
+			r.quotas.bank.FloorsKept(floors)
+		} else {
+			pause = floorEvery // the disk refuses; the old floors hold
 		}
-		r.quotas.bank.FloorsKept(floors)
 		select {
-		case <-time.After(floorPause):
+		case <-time.After(pause):
 		case <-r.quit:
 			return
 		}
