Leafs: an answer is believed only from the request it names; one place for further tries

Cause: an answer to an earlier request that arrives when the next one is already out was taken for the next one's if it named no request. A refusal that came twice let a request that may not be repeated go to a second leaf. HEAD with a Content-Length was always answered 502. Where a further try is allowed was decided in five places.

Change: a line remembers with which statuses its leaf names the request; one of those that names none is not ours. A part's stamp that the line has just carried is not ours. What may not be repeated goes on no line whose last call was turned away. trunk.FateOf and Request.Again decide what may be tried again; in gather every try comes by asking.seize. The deadline told to a leaf no longer counts the time that opening the line took.

--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -96,7 +96,7 @@
 	sent    int // arrivals at leafs
 	free    int // tries that did not leave
 	pending int
-	ran     bool // a leaf may have run it
+	fate    trunk.Fate // the worst of the tries that ended
 	part    *trunk.Answer
 	last    *trunk.Answer
 	failed  bool
@@ -176,7 +176,7 @@
 	k.began = ran
 	k.usual = k.pace.hedgeAfter(l.Target)
 	k.open = len(services)
-	r.Once = !l.Repeatable()
+	r.Once, r.Part = !l.Repeatable(), gathered
 	for i, s := range services {
 		k.shards[i].service = s
 		if a.watches(l) {
@@ -201,9 +201,21 @@
 	return share >= 1 || rand.Float64() < share
 }
 
+// ran reports whether a leaf may have run the shard's request, as far as tries ended.
+func (s *shard) ran() bool { return s.fate > trunk.Refused }
+
+// seize reserves a leaf for one more try. Every try comes by here: what may not be
+// repeated gets a leaf only while no other has it or may have run it.
+func (k *asking) seize(s *shard) *trunk.Trunk {
+	if !k.req.Again(s.fate) || k.req.Once && s.pending > 0 {
+		return nil
+	}
+	return k.frame.Seize(s.service, s.tried, k.req.Once)
+}
+
 // launch sends the shard's request to one more leaf, if one takes it.
 func (k *asking) launch(i int, now time.Time) bool {
-	t := k.frame.Seize(k.shards[i].service, k.shards[i].tried, k.req.Once)
+	t := k.seize(&k.shards[i])
 	if t == nil {
 		k.settle(&k.shards[i])
 		return false
@@ -277,7 +289,7 @@
 	if s.sent >= k.line.Tries || !k.req.Deadline.After(now) {
 		return false
 	}
-	t := k.frame.Seize(s.service, s.tried, k.req.Once)
+	t := k.seize(s)
 	if t == nil {
 		return false
 	}
@@ -372,7 +384,7 @@
 	k.frame.Overdue(s.newest, s.since, k.usual)
 	s.hedgeAt = now.Add(k.usual)
 	// Where leafs are full a second one only makes all of them slower.
-	if k.line.Repeatable() && !k.frame.Crowded(s.service) {
+	if !k.frame.Crowded(s.service) {
 		k.again(i, hedgeKeep, now)
 	}
 }
@@ -382,25 +394,29 @@
 	s := &k.shards[o.shard]
 	s.pending--
 	now := time.Now()
+	fate := trunk.FateOf(o.a, o.err)
+	if !errors.Is(o.err, errNoTurn) {
+		s.fate = max(s.fate, fate)
+	}
 	switch {
-	case o.err == nil && o.a.Good():
+	case fate == trunk.Ran && o.a.Good():
 		k.ran(now.Add(-o.took))
 		first := s.part == nil
 		k.fill(s, o.a)
 		k.pace.add(o.took)
-		if first && s.pair != nil && len(s.tried) == 1 && rand.Float64() < k.Shadow && k.line.Repeatable() && !k.frame.Crowded(s.service) {
+		if first && s.pair != nil && len(s.tried) == 1 && rand.Float64() < k.Shadow && !k.frame.Crowded(s.service) {
 			k.again(o.shard, shadowKeep, now)
 		}
 		return
 	case errors.Is(o.err, errNoTurn):
 		s.sent--
 		k.back = max(k.back, o.back)
-	case errors.Is(o.err, trunk.ErrNotSent):
+	case fate == trunk.Unsent:
 		s.sent--
 		if s.free++; s.part == nil && s.pending == 0 && s.free <= freeTries && k.req.Deadline.After(now) && k.launch(o.shard, now) {
 			return
 		}
-	case o.err == nil && o.a.NotRun():
+	case fate == trunk.Refused:
 		s.last = o.a
 		if s.part == nil && s.pending == 0 {
 			if o.a.Status == http.StatusMisdirectedRequest {
@@ -416,15 +432,14 @@
 			}
 		}
 	default:
-		s.ran = true
 		s.last = o.a
-		if o.err == nil {
+		if fate == trunk.Ran {
 			k.ran(now.Add(-o.took))
 		} else if k.maybe.IsZero() {
 			k.maybe = now.Add(-o.took)
 		}
 		s.late = s.late || errors.Is(o.err, trunk.ErrLate)
-		if s.part == nil && s.pending == 0 && k.line.Repeatable() && k.again(o.shard, 0, now) {
+		if s.part == nil && s.pending == 0 && k.again(o.shard, 0, now) {
 			return
 		}
 	}
@@ -460,7 +475,7 @@
 		return &Reply{Status: s.part.Status, Header: s.part.Header, Body: s.part.Body}
 	case s.pending > 0 || s.late:
 		return failure(http.StatusGatewayTimeout, "the leaf did not answer in time")
-	case s.ran:
+	case s.ran():
 		if a := s.last; a != nil && a.Status/100 != 2 && !a.NotRun() && !promises(a.Status) {
 			return &Reply{Status: a.Status, Header: a.Header, Body: a.Body} // the leaf's own failure
 		}
@@ -489,7 +504,7 @@
 	var stamps []byte
 	for i := range k.shards {
 		s := &k.shards[i]
-		ran = ran || s.ran || s.pending > 0
+		ran = ran || s.ran() || s.pending > 0
 		pending = pending || (s.part == nil && (s.pending > 0 || s.late))
 		if s.part == nil {
 			continue
--- a/internal/trunk/health.go
+++ b/internal/trunk/health.go
@@ -163,7 +163,7 @@
 		l, err := f.line(ctx, t, r.Once)
 		cancel()
 		if err == nil {
-			a, _, err := l.call(r, "", time.Now())
+			a, _, err := l.call(r, "")
 			answers = err == nil && a.Header.Get(HeaderInstance) == t.leaf.ID
 			f.drop(t, l)
 		}
--- a/internal/trunk/line.go
+++ b/internal/trunk/line.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -47,10 +48,41 @@
 	ID       string
 	Deadline time.Time
 	// Once says that the request may not be repeated: it goes on no connection
-	// that rested for long, since the leaf may have forgotten it.
+	// that rested for long, since the leaf may have forgotten it, and on none
+	// whose last call was turned away.
 	Once bool
+	// Part says that the answer is one of several to be joined: its stamp is this
+	// request's alone.
+	Part bool
 }
 
+// Fate is what became of a request at a leaf.
+type Fate uint8
+
+// Fates: only after the first two has the leaf surely not run the request.
+const (
+	Unsent  Fate = iota // no byte of it left
+	Refused             // the leaf says that it has not run it
+	Ran                 // the leaf answered
+	Unclear             // no whole answer came
+)
+
+// FateOf tells the fate of a request by how its call ended.
+func FateOf(a *Answer, err error) Fate {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return Unsent
+	case err != nil:
+		return Unclear
+	case a.NotRun():
+		return Refused
+	}
+	return Ran
+}
+
+// Again reports whether the request may go to a leaf once more after such a fate.
+func (r *Request) Again(f Fate) bool { return !r.Once || f == Unsent || f == Refused }
+
 // Answer is a leaf's whole answer.
 type Answer struct {
 	Status int
@@ -83,6 +115,9 @@
 	until   time.Time // after this the leaf may close it
 	rested  time.Time // since when it is idle
 	surplus bool
+	refused bool   // the last call was turned away
+	echoes  []int  // statuses of answers that named their request; of parts below 0
+	stamp   string // of the last answer
 }
 
 func newLine(c net.Conn) *line {
@@ -119,7 +154,8 @@
 
 // call sends the request and reads the whole answer. reuse says whether the
 // line may serve another request.
-func (l *line) call(r *Request, expected string, now time.Time) (a *Answer, reuse bool, err error) {
+func (l *line) call(r *Request, expected string) (a *Answer, reuse bool, err error) {
+	now := time.Now()
 	_ = l.conn.SetDeadline(r.Deadline)
 	left := r.Deadline.Sub(now).Milliseconds()
 	if left < 1 {
@@ -162,8 +198,9 @@
 			return nil, false, fmt.Errorf("%w: it switched protocols unasked", ErrLost)
 		}
 	}
+	bodiless := r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	var body []byte
-	if resp.ContentLength > 0 && resp.ContentLength <= maxAnswer {
+	if !bodiless && resp.ContentLength > 0 && resp.ContentLength <= maxAnswer {
 		body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, body)
 	} else {
@@ -179,14 +216,15 @@
 		return nil, false, fmt.Errorf("%w: it is too large", ErrLost)
 	}
 	chunked := len(resp.TransferEncoding) > 0
-	bodiless := r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if resp.ContentLength < 0 && !chunked && !bodiless {
 		// Only the close ends it: a cut would look complete.
 		return nil, false, fmt.Errorf("%w: its end is not marked", ErrLost)
 	}
-	if id := resp.Header.Get(HeaderID); id != "" && r.ID != "" && id != r.ID {
+	a = &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if !l.owns(r, a) {
 		return nil, false, fmt.Errorf("%w: it belongs to another request", ErrLost)
 	}
+	l.refused = a.NotRun()
 	if l.br.Buffered() > 0 {
 		l.surplus = true
 	}
@@ -194,7 +232,33 @@
 	if s, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
 		l.until = time.Now().Add(s - min(idleMargin, s/2))
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close && !l.surplus, nil
+	return a, !resp.Close && !l.surplus, nil
+}
+
+// owns reports whether an answer is one to the request. What a leaf sent after an
+// earlier answer can arrive when the next request is already out: it names that
+// earlier request, or nobody where such answers of the leaf name theirs, or has its
+// stamp.
+func (l *line) owns(r *Request, a *Answer) bool {
+	if r.ID != "" {
+		kind := a.Status
+		if r.Part {
+			kind = -kind
+		}
+		ids, named := a.Header[HeaderID], slices.Contains(l.echoes, kind)
+		if named && len(ids) == 0 || slices.ContainsFunc(ids, func(id string) bool { return id != r.ID }) {
+			return false
+		}
+		if !named && len(ids) > 0 {
+			l.echoes = append(l.echoes, kind)
+		}
+	}
+	stamp := a.Header.Get(HeaderStamp)
+	if r.Part && stamp != "" && stamp == l.stamp {
+		return false
+	}
+	l.stamp = stamp
+	return true
 }
 
 func writeField(w *bufio.Writer, name, value string) {
--- a/internal/trunk/line_test.go
+++ b/internal/trunk/line_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +67,102 @@
 		time.Sleep(3 * time.Millisecond)
 	}
 }
+
+// script is a leaf that answers each connection's requests by the given texts, in
+// which ID is the request's; a text that ends in CLOSE ends the connection.
+func script(t *testing.T, answers ...string) *Frame {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for _, a := range answers {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					a, end := strings.CutSuffix(strings.ReplaceAll(a, "ID", r.Header.Get(HeaderID)), "CLOSE")
+					fmt.Fprint(c, a)
+					if end {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	d := &net.Dialer{}
+	f := NewFrame(placeOf("n1", "a"), d.DialContext, event.Nop())
+	f.SetList(map[string]feed.Leaf{"l": {ID: "l", Service: "s", Addr: l.Addr().String(), Zone: "a", Slots: 2}})
+	return f
+}
+
+// TestAnswers: what of an answer counts, and what becomes of its connection.
+func TestAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Comethold-Server-Stamp: s\r\nContent-Length: 2\r\n"
+	const named = ok + "X-Comethold-Request-Id: ID\r\n\r\nID"
+	for name, c := range map[string]struct {
+		method  string
+		part    bool
+		once    bool
+		answers []string
+		want    string // body or fate, by request
+	}{
+		"hints before it":          {answers: []string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + named, named}, want: "q0 q1"},
+		"the answer of another":    {answers: []string{named, ok + "X-Comethold-Request-Id: q0\r\n\r\nq0"}, want: "q0 unclear"},
+		"one that names nobody":    {answers: []string{named, ok + "\r\nq0"}, want: "q0 unclear"},
+		"none names anybody":       {answers: []string{ok + "\r\nID", ok + "\r\nID"}, want: "q0 q1"},
+		"a part's stamp again":     {part: true, answers: []string{ok + "\r\nID", ok + "\r\nq0"}, want: "q0 unclear"},
+		"half of it, then nothing": {answers: []string{ok + "\r\nq", named}, want: "unclear unclear"},
+		"half of it, then the end": {answers: []string{ok + "\r\nqCLOSE"}, want: "unclear unclear"},
+		"an end that is unmarked":  {answers: []string{"HTTP/1.1 200 OK\r\nX-Comethold-Server-Stamp: s\r\n\r\nIDCLOSE"}, want: "unclear unclear"},
+		"the end before it":        {answers: []string{"CLOSE"}, want: "unclear unclear"},
+		"another protocol":         {answers: []string{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"}, want: "unclear unclear"},
+		"to HEAD":                  {method: "HEAD", answers: []string{ok + "\r\n", ok + "\r\n"}, want: "- -"},
+		"204 and 304":              {answers: []string{"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"}, want: "- -"},
+		"a refusal that comes twice": {once: true, want: "refused q1", answers: []string{
+			"HTTP/1.1 503 Full\r\nX-Comethold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Comethold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := script(t, c.answers...)
+			if c.once { // the second connection has a well leaf
+				first := f.dial
+				well := script(t, named, named)
+				n := 0
+				f.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					if n++; n > 1 {
+						addr = well.byID["l"].leaf.Addr
+					}
+					return first(ctx, network, addr)
+				}
+			}
+			var got []string
+			for i := range 2 {
+				tr := f.byID["l"]
+				f.mu.Lock()
+				tr.active++
+				f.mu.Unlock()
+				a, err := f.Call(tr, &Request{Method: cmp.Or(c.method, "GET"), Target: "/", Host: "h", Part: c.part, Once: c.once, ID: fmt.Sprint("q", i), Deadline: time.Now().Add(150 * time.Millisecond)})
+				switch fate := FateOf(a, err); {
+				case fate == Refused:
+					got = append(got, "refused")
+				case fate == Ran:
+					got = append(got, cmp.Or(string(a.Body), "-"))
+				default:
+					got = append(got, "unclear")
+				}
+			}
+			if s := strings.Join(got, " "); s != c.want {
+				t.Errorf("got %s, want %s", s, c.want)
+			}
+		})
+	}
+}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -257,7 +257,7 @@
 			break
 		}
 		now := time.Now()
-		if now.Before(l.until) && !(once && now.Sub(l.rested) > doubtAfter) && l.quiet() {
+		if now.Before(l.until) && !(once && (l.refused || now.Sub(l.rested) > doubtAfter)) && l.quiet() {
 			return l, nil
 		}
 		if l.surplus {
@@ -316,7 +316,7 @@
 	start := time.Now()
 	if err == nil {
 		var reuse bool
-		a, reuse, err = l.call(r, t.leaf.ID, start)
+		a, reuse, err = l.call(r, t.leaf.ID)
 		took = time.Since(start)
 		if reuse {
 			f.giveBack(t, l)
