Announcers: each read of an origin has an id of its own

Cause: reads went out without an id, so an answer that an origin sent twice could be kept as another object and served to all who ask for that one.

Change: a random id for each read; the leaf's line checks that the answer names it. The fate of a read comes from trunk.FateOf.

Measured: twice.txt without the id: want a1=1 b1=1 ... got map[a1:2 b1:2 e1:2 g1:2]

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -284,7 +284,8 @@
 			}
 			return nil, &Refusal{Status: http.StatusServiceUnavailable, Why: "the origin takes no more reads now", RetryAfter: back}
 		}
-		r := &trunk.Request{Method: http.MethodGet, Target: w.Target, Host: w.Host, Header: http.Header{}}
+		// Each read has an id of its own, so that an answer to an earlier one is known.
+		r := &trunk.Request{Method: http.MethodGet, Target: w.Target, Host: w.Host, Header: http.Header{}, ID: newReadID()}
 		if old != nil && old.ETag != "" && old.Service == service {
 			r.Header["If-None-Match"] = []string{old.ETag}
 		}
@@ -292,33 +293,33 @@
 		r.Deadline = began.Add(min(deadline.Sub(began), max(shortestTry, a.usual.limit(service))))
 		ans, err := a.Frame.Call(t, r)
 		tried = append(tried, t)
-		switch {
-		case err == nil && ans.Status == http.StatusNotModified && old != nil && r.Header["If-None-Match"] != nil:
+		switch fate := trunk.FateOf(ans, err); {
+		case fate == trunk.Ran && ans.Status == http.StatusNotModified && old != nil && r.Header["If-None-Match"] != nil:
 			took := time.Since(began)
 			a.usual.count(func(t *tally) { t.renewed++; t.renewTime += took })
 			again := *old
 			again.Read, again.Pos = began, pos
 			return &again, nil
-		case err == nil && ans.Status == http.StatusOK && ans.Good():
+		case fate == trunk.Ran && ans.Status == http.StatusOK && ans.Good():
 			took := time.Since(began)
 			a.usual.add(service, took)
 			a.usual.count(func(t *tally) { t.reads++; t.readTime += took })
 			return &recorder.Recording{Host: w.Host, Target: w.Target, Service: service, ETag: ans.Header.Get(headerETag),
 				Labels: strings.Fields(ans.Header.Get(headerLabels)), Header: objectHeader(ans.Header), Body: ans.Body, Read: began, Pos: pos}, nil
-		case err == nil && ans.NotRun():
+		case fate == trunk.Refused:
 			if ans.Status == http.StatusTooManyRequests {
 				a.Log.Warn(event.RateMet).Str("service", service).Msg("the origin says that its rate is spent")
 			}
 			if !ran {
 				last = &Refusal{Status: http.StatusServiceUnavailable, Why: "the origin turns reads away", RetryAfter: 200 * time.Millisecond}
 			}
-		case err == nil && ans.Status/100 != 2 && ans.Status/100 != 3:
+		case fate == trunk.Ran && ans.Status/100 != 2 && ans.Status/100 != 3:
 			ran = true
 			last = &Refusal{Status: ans.Status, Why: "the origin's own failure", Header: objectHeader(ans.Header), Body: ans.Body}
 			if ans.Status/100 == 4 {
 				return nil, last // asking again changes nothing
 			}
-		case errors.Is(err, trunk.ErrNotSent):
+		case fate == trunk.Unsent:
 			if !ran {
 				last = &Refusal{Status: http.StatusServiceUnavailable, Why: "the origin cannot be reached", RetryAfter: 200 * time.Millisecond}
 			}
@@ -333,6 +334,8 @@
 	return nil, last
 }
 
+func newReadID() string { return "r" + strconv.FormatUint(rand.Uint64(), 36) }
+
 // objectHeader is what a recording keeps of a leaf's header.
 func objectHeader(h http.Header) http.Header {
 	out := trunk.PassedOn(h)
--- a/internal/announce/scenario_test.go
+++ b/internal/announce/scenario_test.go
@@ -80,6 +80,9 @@
 		}
 		time.Sleep(work) // the version is that of the moment the work began
 		head := fmt.Sprintf("X-Comethold-Server-Stamp: s\r\nETag: %s\r\nX-Comethold-Object-Labels: %s\r\n", tag, label)
+		if id := r.Header.Get("X-Comethold-Request-Id"); id != "" {
+			head += "X-Comethold-Request-Id: " + id + "\r\n"
+		}
 		switch {
 		case mode == "error":
 			fmt.Fprint(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
@@ -91,7 +94,11 @@
 		case r.Header.Get("If-None-Match") == tag:
 			fmt.Fprintf(c, "HTTP/1.1 304 Not Modified\r\n%s\r\n", head)
 		default:
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(tag), tag)
+			whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(tag), tag)
+			fmt.Fprint(c, whole)
+			if mode == "twice" { // the second arrives when the next read is out
+				go fmt.Fprint(c, whole)
+			}
 		}
 	}
 }
