Counts: answers to a former life's tallies settle nothing

Cause: each life of a switch numbered its tallies from 1, so an answer that came late, to the former life at the same port, marked counts of the new life as known to a registrar that never got them: they were missing from the report.

Change: tallies are numbered from the life's random number on. Draws of tokens begin at a random number of 64 bits rather than 32.

Measured: TestFormerLife without it: what was lost is not told again: &{ 2 map[]}

--- a/internal/switchboard/teller.go
+++ b/internal/switchboard/teller.go
@@ -75,7 +75,7 @@
 
 func newTeller(o *office.Office) *teller {
 	t := &teller{office: o, rules: o.Set.Bounds.Quota(), reserve: quota.NewReserve(), waiting: map[string]*queue{},
-		asks: map[uint64]*draw{}, nextID: uint64(rand.Uint32()), shun: map[string]time.Time{}}
+		asks: map[uint64]*draw{}, nextID: rand.Uint64(), shun: map[string]time.Time{}}
 	o.OnGrant(t.hear)
 	o.OnChanged(func(names []string) { t.reserve.Drop(names) })
 	return t
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -65,9 +65,10 @@
 	mostSent  = 32
 )
 
-// NewMeter makes a meter for one life of a node.
+// NewMeter makes a meter for one life of a node. Its tallies are numbered from the life's
+// own number on: an answer to a former life at the same port answers none of them.
 func NewMeter(life uint64, length time.Duration) *Meter {
-	return &Meter{life: life, length: length, parts: map[uint64]map[string]*count{}, sent: map[uint64]Windows{}}
+	return &Meter{life: life, seq: life, length: length, parts: map[uint64]map[string]*count{}, sent: map[uint64]Windows{}}
 }
 
 // Count counts a request of a tenant that began to run at a moment of true time.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// TestFormerLife: an answer to a tally of a node's former life settles nothing of the
+// next, whose count would be missing for good.
+func TestFormerLife(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	former, next := NewMeter(100, time.Second), NewMeter(1<<40, time.Second)
+	former.Count("a", at)
+	late := &Noted{Seq: former.Next().Seq, Life: 1}
+	next.Count("a", at)
+	next.Next() // lost
+	next.Noted(late)
+	if tally := next.Next(); len(tally.Parts) != 1 {
+		t.Errorf("what was lost is not told again: %v", tally)
+	}
+}
+
 // TestClock: a minority of wrong clocks moves nothing, neither at the first agreement
 // nor later, and one that starts anew takes what the others agree on.
 func TestClock(t *testing.T) {
