Calls: no redirect is followed, no answer without a body believed; duties leave no bytes

Cause: the clients of internal calls and of the platform's duties followed redirects, which is a second call (a duty's 301 even as a GET whose 200 counted as a report that was taken). An empty 200 was taken for an answer: a proposal for one that was not committed, an object for one without bytes. A duty's socket gave up its unsent bytes only at an orderly close, not at a kill.

Change: 3xx is a refusal; an empty body is garbled where an answer is asked for; linger 0 from the dial on. http.Transport's own repetition of a POST stays: it happens only with no byte written.

--- a/internal/registrar/usage.go
+++ b/internal/registrar/usage.go
@@ -329,6 +329,14 @@
 	held func() bool
 }
 
+// leased has what is not sent yet dropped at the close, be that by a kill.
+func leased(c net.Conn, held func() bool) leasedConn {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	return leasedConn{c, held}
+}
+
 func (c leasedConn) Write(b []byte) (int, error) {
 	if !c.held() {
 		return 0, errNotHeld
@@ -336,13 +344,6 @@
 	return c.Conn.Write(b)
 }
 
-func (c leasedConn) Close() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	return c.Conn.Close()
-}
-
 // callPlatform sends the bytes of a report on a connection of its own, under the lease:
 // the call is over, whatever its end, before the lease is.
 func (r *Registrar) callPlatform(body []byte, term uint64) error {
@@ -364,13 +365,13 @@
 		return ok
 	}
 	dial := u.net(span, span)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+	client := &http.Client{CheckRedirect: wire.Unguided, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return leasedConn{c, held}, nil
+			return leased(c, held), nil
 		}}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.set.Platform.Address+"/usage", bytes.NewReader(body))
 	if err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -68,6 +68,14 @@
 	return time.Duration(v * float64(time.Millisecond))
 }
 
+// Seeds is how many seeds a chaos test draws from: what COMETHOLD_SEEDS says, or few.
+func Seeds(few int) int {
+	if n, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS")); err == nil && n > 0 {
+		return n
+	}
+	return few
+}
+
 // Play runs every file of a folder in a world of its own. wrap puts each run
 // into its simulated time.
 func Play(t *testing.T, dir string, wrap func(t *testing.T, run func(t *testing.T)), world func(t *testing.T) World) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,23 +105,29 @@
 	return Dialer(limit, silent).DialContext
 }
 
-// Client calls other processes.
+// Client calls other processes. The transport beneath repeats a POST on its own only if
+// the connection it had kept was found closed with no byte of the request written.
 type Client struct{ h *http.Client }
 
+// Unguided keeps an http.Client from following redirects, which would make a second call.
+func Unguided(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // NewClient makes a client.
 func NewClient(n Net) *Client { return NewClientWith(n, 700*time.Millisecond, 2*time.Second, 4) }
 
 // NewClientWith makes a client that gives up on dialling and on a silent peer
 // after the given times, and keeps some idle connections to each peer.
 func NewClientWith(n Net, dial, silent time.Duration, idle int) *Client {
-	return &Client{h: &http.Client{Transport: &http.Transport{
+	return &Client{h: &http.Client{CheckRedirect: Unguided, Transport: &http.Transport{
 		DialContext: n(dial, silent), DisableCompression: true,
 		MaxIdleConnsPerHost: idle, IdleConnTimeout: 30 * time.Second,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 	}}}
 }
 
-// Call posts in to the peer's path and decodes the answer into out, if any.
+// Call posts in to the peer's path, at most once, and decodes the answer into out. An
+// answer without the body that out asks for is none. After ErrUnreachable the peer may
+// have done what it was asked, and may yet do it.
 func (c *Client) Call(ctx context.Context, addr, path string, in, out any) error {
 	b, err := Marshal(in)
 	if err != nil {
@@ -144,7 +150,7 @@
 	if resp.StatusCode/100 != 2 {
 		return fmt.Errorf("%w: %d %s", ErrRefused, resp.StatusCode, body)
 	}
-	if out == nil || len(body) == 0 {
+	if out == nil {
 		return nil
 	}
 	if body, err = Unpack(body); err != nil {
