--- a/internal/trunk/line.go
+++ b/internal/trunk/line.go
@@ -49,7 +49,7 @@
 	Deadline time.Time
 	// Once says that the request may not be repeated: it goes on no connection
 	// that rested for long, since the leaf may have forgotten it, and on none
-	// whose last call was turned away.
+	// whose last answer can't be told from the next one's.
 	Once bool
 	// Part says that the answer is one of several to be joined: its stamp is this
 	// request's alone.
@@ -109,15 +109,15 @@
 
 // line is one connection to a leaf. It carries one request at a time.
 type line struct {
-	conn    net.Conn
-	br      *bufio.Reader
-	bw      *bufio.Writer
-	until   time.Time // after this the leaf may close it
-	rested  time.Time // since when it is idle
-	surplus bool
-	refused bool   // the last call was turned away
-	echoes  []int  // statuses of answers that named their request; of parts below 0
-	stamp   string // of the last answer
+	conn     net.Conn
+	br       *bufio.Reader
+	bw       *bufio.Writer
+	until    time.Time // after this the leaf may close it
+	rested   time.Time // since when it is idle
+	surplus  bool
+	nameless bool   // the last answer named no request and had no stamp
+	echoes   []int  // statuses of answers that named their request; of parts below 0
+	stamp    string // of the last answer
 }
 
 func newLine(c net.Conn) *line {
@@ -224,7 +224,6 @@
 	if !l.owns(r, a) {
 		return nil, false, fmt.Errorf("%w: it belongs to another request", ErrLost)
 	}
-	l.refused = a.NotRun()
 	if l.br.Buffered() > 0 {
 		l.surplus = true
 	}
@@ -232,7 +231,11 @@
 	if s, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
 		l.until = time.Now().Add(s - min(idleMargin, s/2))
 	}
-	return a, !resp.Close && !l.surplus, nil
+	// Two nameless ones may be one that came twice; then the next would get an answer
+	// that isn't its own.
+	was := l.nameless
+	l.nameless = a.Header.Get(HeaderID) == "" && a.Header.Get(HeaderStamp) == ""
+	return a, !resp.Close && !l.surplus && !(was && l.nameless), nil
 }
 
 // owns reports whether an answer is one to the request. What a leaf sent after an
--- a/internal/trunk/line_test.go
+++ b/internal/trunk/line_test.go
@@ -108,6 +108,7 @@
 // TestAnswers: what of an answer counts, and what becomes of its connection.
 func TestAnswers(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nX-Comethold-Server-Stamp: s\r\nContent-Length: 2\r\n"
+	const full = "HTTP/1.1 503 Full\r\nX-Comethold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	const named = ok + "X-Comethold-Request-Id: ID\r\n\r\nID"
 	for name, c := range map[string]struct {
 		method  string
@@ -116,20 +117,20 @@
 		answers []string
 		want    string // body or fate, by request
 	}{
-		"hints before it":          {answers: []string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + named, named}, want: "q0 q1"},
-		"the answer of another":    {answers: []string{named, ok + "X-Comethold-Request-Id: q0\r\n\r\nq0"}, want: "q0 unclear"},
-		"one that names nobody":    {answers: []string{named, ok + "\r\nq0"}, want: "q0 unclear"},
-		"none names anybody":       {answers: []string{ok + "\r\nID", ok + "\r\nID"}, want: "q0 q1"},
-		"a part's stamp again":     {part: true, answers: []string{ok + "\r\nID", ok + "\r\nq0"}, want: "q0 unclear"},
-		"half of it, then nothing": {answers: []string{ok + "\r\nq", named}, want: "unclear unclear"},
-		"half of it, then the end": {answers: []string{ok + "\r\nqCLOSE"}, want: "unclear unclear"},
-		"an end that is unmarked":  {answers: []string{"HTTP/1.1 200 OK\r\nX-Comethold-Server-Stamp: s\r\n\r\nIDCLOSE"}, want: "unclear unclear"},
-		"the end before it":        {answers: []string{"CLOSE"}, want: "unclear unclear"},
-		"another protocol":         {answers: []string{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"}, want: "unclear unclear"},
-		"to HEAD":                  {method: "HEAD", answers: []string{ok + "\r\n", ok + "\r\n"}, want: "- -"},
-		"204 and 304":              {answers: []string{"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"}, want: "- -"},
-		"a refusal that comes twice": {once: true, want: "refused q1", answers: []string{
-			"HTTP/1.1 503 Full\r\nX-Comethold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Comethold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}},
+		"hints before it":                         {answers: []string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + named, named}, want: "q0 q1"},
+		"the answer of another":                   {answers: []string{named, ok + "X-Comethold-Request-Id: q0\r\n\r\nq0"}, want: "q0 unclear"},
+		"one that names nobody":                   {answers: []string{named, ok + "\r\nq0"}, want: "q0 unclear"},
+		"none names anybody":                      {answers: []string{ok + "\r\nID", ok + "\r\nID"}, want: "q0 q1"},
+		"a part's stamp again":                    {part: true, answers: []string{ok + "\r\nID", ok + "\r\nq0"}, want: "q0 unclear"},
+		"half of it, then nothing":                {answers: []string{ok + "\r\nq", named}, want: "unclear unclear"},
+		"half of it, then the end":                {answers: []string{ok + "\r\nqCLOSE"}, want: "unclear unclear"},
+		"an end that is unmarked":                 {answers: []string{"HTTP/1.1 200 OK\r\nX-Comethold-Server-Stamp: s\r\n\r\nIDCLOSE"}, want: "unclear unclear"},
+		"the end before it":                       {answers: []string{"CLOSE"}, want: "unclear unclear"},
+		"another protocol":                        {answers: []string{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"}, want: "unclear unclear"},
+		"to HEAD":                                 {method: "HEAD", answers: []string{ok + "\r\n", ok + "\r\n"}, want: "- -"},
+		"204 and 304":                             {answers: []string{"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"}, want: "- -"},
+		"a refusal that comes twice":              {once: true, answers: []string{full, full}, want: "refused q1"},
+		"a refusal that comes twice, then a part": {part: true, answers: []string{full, full, ok + "\r\nq1"}, want: "refused refused refused"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := script(t, c.answers...)
@@ -145,7 +146,7 @@
 				}
 			}
 			var got []string
-			for i := range 2 {
+			for i := range strings.Count(c.want, " ") + 1 {
 				tr := f.byID["l"]
 				f.mu.Lock()
 				tr.active++
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -257,7 +257,7 @@
 			break
 		}
 		now := time.Now()
-		if now.Before(l.until) && !(once && (l.refused || now.Sub(l.rested) > doubtAfter)) && l.quiet() {
+		if now.Before(l.until) && !(once && (l.nameless || now.Sub(l.rested) > doubtAfter)) && l.quiet() {
 			return l, nil
 		}
 		if l.surplus {
