Plane: leafs that reset, stall, mix up, repeat, hint and end; each answer's stamp is checked

The runner checks on every 200 that all its stamps are the request's own.

Measured: with the id's check taken out: q44 got an answer with the stamp l1.q43; with Request.Again taken out of asking.seize: q1 ran 2 times.

--- a/internal/scenario/plane_test.go
+++ b/internal/scenario/plane_test.go
@@ -161,6 +161,28 @@
 		case "cut":
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", stamp, len(body)+9, body)
 			return
+		case "reset":
+			return
+		case "stall":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", stamp, len(body), body[:9])
+			<-p.quit
+			return
+		case "hints":
+			fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+			say("200 OK", stamp, body)
+		case "alien":
+			say("200 OK", stamp+"X-Comethold-Request-Id: another\r\n", body)
+		case "twice": // the second arrives when the next request is out
+			stamp += "X-Comethold-Request-Id: " + id + "\r\n"
+			say("200 OK", stamp, body)
+			go say("200 OK", stamp, body)
+		case "closing":
+			say("200 OK", stamp+"Connection: close\r\n", body)
+			return
+		case "bye": // it ends when the next request is being written
+			say("200 OK", stamp, body)
+			_, _ = in.Peek(1)
+			return
 		case "extra":
 			say("200 OK", stamp, body)
 			say("200 OK", "X-Comethold-Server-Stamp: alien\r\n", "alien")
@@ -239,6 +261,13 @@
 	if method == "POST" && p.ranIDs[id] > 1 {
 		p.t.Errorf("%s ran %d times", id, p.ranIDs[id])
 	}
+	if stamps := w.Header().Get("X-Comethold-Server-Stamp") + w.Header().Get("X-Comethold-Part-Stamps"); w.Code == 200 {
+		for _, stamp := range strings.Split(stamps, ", ") {
+			if !strings.HasSuffix(stamp, "."+id) {
+				p.t.Errorf("%s got an answer with the stamp %s", id, stamp)
+			}
+		}
+	}
 	if w.Code == 200 && bytes.Contains(w.Body.Bytes(), []byte("alien")) {
 		p.t.Errorf("%s got bytes that belong to no request", id)
 	}
