Duties: a holder anew waits from the end of its last call, and a margin

Cause: a holder that got the duty back, or was started anew, waited leaseMs from the moment when its last call was written. A call that was long on its way, and a next one that was not, could reach the platform less than leaseMs apart, with another holder's between them: A, B, A.

--- a/internal/registrar/calls_test.go
+++ b/internal/registrar/calls_test.go
@@ -31,6 +31,10 @@
 
 func (p *strangePlatform) serve(c net.Conn) {
 	defer c.Close()
+	p.mu.Lock()
+	late := time.Duration(p.rng.Intn(20)) * time.Millisecond
+	p.mu.Unlock()
+	time.Sleep(late) // on its way
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -96,6 +100,7 @@
 		set := &settings.Settings{NodeName: "n1"}
 		set.Platform.Address = door.Addr().String()
 		r := &Registrar{set: set, usages: newUsages(wire.Sockets), reporter: &duty{}}
+		r.usages.born = time.Now().Add(-time.Hour)
 		for i := range 40 {
 			p.mu.Lock()
 			p.came = 0
@@ -113,6 +118,9 @@
 			if p.came > 1 || p.came == 1 && p.last.After(until) {
 				t.Errorf("seed %d: a call came %d times, %v before the lease's end", seed, p.came, until.Sub(p.last))
 			}
+			if u := r.usages; p.came > 0 && (u.mayCall(uint64(i+2), time.Second, p.last.Add(time.Second)) || !u.mayCall(uint64(i+1), 0, p.last.Add(time.Second))) {
+				t.Errorf("seed %d: another term may call a second after it was written, not after it came", seed)
+			}
 			if err == nil && !(p.came == 1 && p.took) {
 				t.Errorf("seed %d: a call went well that was not taken", seed)
 			}
--- a/internal/registrar/usage.go
+++ b/internal/registrar/usage.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comethold/internal/cell"
@@ -54,7 +55,7 @@
 	taken map[string]time.Time
 
 	mu      sync.Mutex
-	actedAt time.Time // when this life last called the platform
+	actedAt time.Time // when a call of this life to the platform was last on its way
 	actedBy uint64    // under which fence
 	nextAt  time.Time // no call before then
 	pause   time.Duration
@@ -239,14 +240,7 @@
 func (r *Registrar) sendReports(term uint64) {
 	u := r.usages
 	for {
-		now := time.Now()
-		u.mu.Lock()
-		wait := now.Before(u.nextAt) || now.Sub(u.born) < r.set.Bounds.Lease() ||
-			u.actedBy != 0 && u.actedBy != term && now.Sub(u.actedAt) < r.set.Bounds.Lease()
-		u.mu.Unlock()
-		if wait {
-			// A holder that has lost the duty and has it again, or that was started anew,
-			// lets the platform forget its former calls: another may have called between.
+		if !u.mayCall(term, r.set.Bounds.Lease(), time.Now()) {
 			return
 		}
 		var k keyedRow
@@ -255,7 +249,7 @@
 				delete(u.taken, row.key)
 				continue
 			}
-			if at, ok := u.taken[row.key]; !ok || now.Sub(at) > noteAgain {
+			if at, ok := u.taken[row.key]; !ok || time.Since(at) > noteAgain {
 				k = row
 				break // one that was noted a moment ago is only not applied here yet
 			}
@@ -283,6 +277,23 @@
 	}
 }
 
+// mayCall reports whether the platform may be called now. A holder that has lost the duty
+// and has it again, or that was started anew, lets the platform forget its former calls:
+// another may have called between. Such a call may have arrived callMargin after its end.
+func (u *usages) mayCall(term uint64, lease time.Duration, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	anew := u.actedBy != 0 && u.actedBy != term
+	return !now.Before(u.nextAt) && now.Sub(u.born) >= lease+callMargin && !(anew && now.Sub(u.actedAt) < lease+callMargin)
+}
+
+// acts notes that a call under a term may be on its way to the platform.
+func (u *usages) acts(term uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.actedAt, u.actedBy = time.Now(), term
+}
+
 var (
 	errNotHeld  = errors.New("the lease is over")
 	errOutdated = errors.New("another holder has called")
@@ -355,15 +366,20 @@
 	span := min(left, callMost)
 	ctx, cancel := context.WithTimeout(context.Background(), span)
 	defer cancel()
+	var acted atomic.Bool
 	held := func() bool {
 		ok := r.reporter.left(term) > 0
 		if ok {
-			u.mu.Lock()
-			u.actedAt, u.actedBy = time.Now(), term
-			u.mu.Unlock()
+			acted.Store(true)
+			u.acts(term)
 		}
 		return ok
 	}
+	defer func() {
+		if acted.Load() { // it has arrived by its end, however long it was on its way
+			u.acts(term)
+		}
+	}()
 	dial := u.net(span, span)
 	client := &http.Client{CheckRedirect: wire.Unguided, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
