--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -293,33 +293,33 @@
 		r.Deadline = began.Add(min(deadline.Sub(began), max(shortestTry, a.usual.limit(service))))
 		ans, err := a.Frame.Call(t, r)
 		tried = append(tried, t)
-		switch fate := trunk.FateOf(ans, err); {
-		case fate == trunk.Ran && ans.Status == http.StatusNotModified && old != nil && r.Header["If-None-Match"] != nil:
+		switch how := trunk.OutcomeOf(ans, err); {
+		case how == trunk.Ran && ans.Status == http.StatusNotModified && old != nil && r.Header["If-None-Match"] != nil:
 			took := time.Since(began)
 			a.usual.count(func(t *tally) { t.renewed++; t.renewTime += took })
 			again := *old
 			again.Read, again.Pos = began, pos
 			return &again, nil
-		case fate == trunk.Ran && ans.Status == http.StatusOK && ans.Good():
+		case how == trunk.Ran && ans.Status == http.StatusOK && ans.Good():
 			took := time.Since(began)
 			a.usual.add(service, took)
 			a.usual.count(func(t *tally) { t.reads++; t.readTime += took })
 			return &recorder.Recording{Host: w.Host, Target: w.Target, Service: service, ETag: ans.Header.Get(headerETag),
 				Labels: strings.Fields(ans.Header.Get(headerLabels)), Header: objectHeader(ans.Header), Body: ans.Body, Read: began, Pos: pos}, nil
-		case fate == trunk.Refused:
+		case how == trunk.Refused:
 			if ans.Status == http.StatusTooManyRequests {
 				a.Log.Warn(event.RateMet).Str("service", service).Msg("the origin says that its rate is spent")
 			}
 			if !ran {
 				last = &Refusal{Status: http.StatusServiceUnavailable, Why: "the origin turns reads away", RetryAfter: 200 * time.Millisecond}
 			}
-		case fate == trunk.Ran && ans.Status/100 != 2 && ans.Status/100 != 3:
+		case how == trunk.Ran && ans.Status/100 != 2 && ans.Status/100 != 3:
 			ran = true
 			last = &Refusal{Status: ans.Status, Why: "the origin's own failure", Header: objectHeader(ans.Header), Body: ans.Body}
 			if ans.Status/100 == 4 {
 				return nil, last // asking again changes nothing
 			}
-		case fate == trunk.Unsent:
+		case how == trunk.Unsent:
 			if !ran {
 				last = &Refusal{Status: http.StatusServiceUnavailable, Why: "the origin cannot be reached", RetryAfter: 200 * time.Millisecond}
 			}
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -96,7 +96,7 @@
 	sent    int // arrivals at leafs
 	free    int // tries that did not leave
 	pending int
-	fate    trunk.Fate // the worst of the tries that ended
+	worst   trunk.Outcome // of the tries that ended
 	part    *trunk.Answer
 	last    *trunk.Answer
 	failed  bool
@@ -202,12 +202,12 @@
 }
 
 // ran reports whether a leaf may have run the shard's request, as far as tries ended.
-func (s *shard) ran() bool { return s.fate > trunk.Refused }
+func (s *shard) ran() bool { return s.worst > trunk.Refused }
 
 // seize reserves a leaf for one more try. Every try comes by here: what may not be
 // repeated gets a leaf only while no other has it or may have run it.
 func (k *asking) seize(s *shard) *trunk.Trunk {
-	if !k.req.Again(s.fate) || k.req.Once && s.pending > 0 {
+	if !k.req.Retriable(s.worst) || k.req.Once && s.pending > 0 {
 		return nil
 	}
 	return k.frame.Seize(s.service, s.tried, k.req.Once)
@@ -394,12 +394,12 @@
 	s := &k.shards[o.shard]
 	s.pending--
 	now := time.Now()
-	fate := trunk.FateOf(o.a, o.err)
+	how := trunk.OutcomeOf(o.a, o.err)
 	if !errors.Is(o.err, errNoTurn) {
-		s.fate = max(s.fate, fate)
+		s.worst = max(s.worst, how)
 	}
 	switch {
-	case fate == trunk.Ran && o.a.Good():
+	case how == trunk.Ran && o.a.Good():
 		k.ran(now.Add(-o.took))
 		first := s.part == nil
 		k.fill(s, o.a)
@@ -411,12 +411,12 @@
 	case errors.Is(o.err, errNoTurn):
 		s.sent--
 		k.back = max(k.back, o.back)
-	case fate == trunk.Unsent:
+	case how == trunk.Unsent:
 		s.sent--
 		if s.free++; s.part == nil && s.pending == 0 && s.free <= freeTries && k.req.Deadline.After(now) && k.launch(o.shard, now) {
 			return
 		}
-	case fate == trunk.Refused:
+	case how == trunk.Refused:
 		s.last = o.a
 		if s.part == nil && s.pending == 0 {
 			if o.a.Status == http.StatusMisdirectedRequest {
@@ -433,7 +433,7 @@
 		}
 	default:
 		s.last = o.a
-		if fate == trunk.Ran {
+		if how == trunk.Ran {
 			k.ran(now.Add(-o.took))
 		} else if k.maybe.IsZero() {
 			k.maybe = now.Add(-o.took)
--- a/internal/registrar/usage.go
+++ b/internal/registrar/usage.go
@@ -381,7 +381,7 @@
 		}
 	}()
 	dial := u.net(span, span)
-	client := &http.Client{CheckRedirect: wire.Unguided, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+	client := &http.Client{CheckRedirect: wire.NoRedirect, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dial(ctx, network, addr)
 			if err != nil {
--- a/internal/trunk/line.go
+++ b/internal/trunk/line.go
@@ -56,19 +56,19 @@
 	Part bool
 }
 
-// Fate is what became of a request at a leaf.
-type Fate uint8
+// Outcome is what became of a request at a leaf.
+type Outcome uint8
 
-// Fates: only after the first two has the leaf surely not run the request.
+// Outcomes: only after the first two has the leaf surely not run the request.
 const (
-	Unsent  Fate = iota // no byte of it left
-	Refused             // the leaf says that it has not run it
-	Ran                 // the leaf answered
-	Unclear             // no whole answer came
+	Unsent  Outcome = iota // no byte of it left
+	Refused                // the leaf says that it has not run it
+	Ran                    // the leaf answered
+	Unclear                // no whole answer came
 )
 
-// FateOf tells the fate of a request by how its call ended.
-func FateOf(a *Answer, err error) Fate {
+// OutcomeOf tells what became of a request by how its call ended.
+func OutcomeOf(a *Answer, err error) Outcome {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return Unsent
@@ -80,8 +80,8 @@
 	return Ran
 }
 
-// Again reports whether the request may go to a leaf once more after such a fate.
-func (r *Request) Again(f Fate) bool { return !r.Once || f == Unsent || f == Refused }
+// Retriable reports whether the request may go to a leaf once more after such an outcome.
+func (r *Request) Retriable(f Outcome) bool { return !r.Once || f == Unsent || f == Refused }
 
 // Answer is a leaf's whole answer.
 type Answer struct {
--- a/internal/trunk/line_test.go
+++ b/internal/trunk/line_test.go
@@ -115,7 +115,7 @@
 		part    bool
 		once    bool
 		answers []string
-		want    string // body or fate, by request
+		want    string // body or outcome, by request
 	}{
 		"hints before it":                         {answers: []string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + named, named}, want: "q0 q1"},
 		"the answer of another":                   {answers: []string{named, ok + "X-Comethold-Request-Id: q0\r\n\r\nq0"}, want: "q0 unclear"},
@@ -152,10 +152,10 @@
 				tr.active++
 				f.mu.Unlock()
 				a, err := f.Call(tr, &Request{Method: cmp.Or(c.method, "GET"), Target: "/", Host: "h", Part: c.part, Once: c.once, ID: fmt.Sprint("q", i), Deadline: time.Now().Add(150 * time.Millisecond)})
-				switch fate := FateOf(a, err); {
-				case fate == Refused:
+				switch how := OutcomeOf(a, err); {
+				case how == Refused:
 					got = append(got, "refused")
-				case fate == Ran:
+				case how == Ran:
 					got = append(got, cmp.Or(string(a.Body), "-"))
 				default:
 					got = append(got, "unclear")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -109,8 +109,8 @@
 // the connection it had kept was found closed with no byte of the request written.
 type Client struct{ h *http.Client }
 
-// Unguided keeps an http.Client from following redirects, which would make a second call.
-func Unguided(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// NoRedirect keeps an http.Client from following redirects, which would make a second call.
+func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // NewClient makes a client.
 func NewClient(n Net) *Client { return NewClientWith(n, 700*time.Millisecond, 2*time.Second, 4) }
@@ -118,7 +118,7 @@
 // NewClientWith makes a client that gives up on dialling and on a silent peer
 // after the given times, and keeps some idle connections to each peer.
 func NewClientWith(n Net, dial, silent time.Duration, idle int) *Client {
-	return &Client{h: &http.Client{CheckRedirect: Unguided, Transport: &http.Transport{
+	return &Client{h: &http.Client{CheckRedirect: NoRedirect, Transport: &http.Transport{
 		DialContext: n(dial, silent), DisableCompression: true,
 		MaxIdleConnsPerHost: idle, IdleConnTimeout: 30 * time.Second,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
