Shares: a claim that was given up is not settled after a newer one of its node

Cause: a claim whose caller had stopped waiting stays in the proposer's queue, or arrives late; settled after a newer one it recorded less than its node used, until the next renewal (0.8 s), and another could be granted the difference. Change: claims bear a turn (the node's life and a number that rises); the table keeps the turn of the claim that it was settled by, and one with a lower number of the same life changes nothing and is not granted. A late claim of a former life is not told apart from the first of a new one.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -89,9 +89,9 @@
 
 // Renew keeps the node's share of the origins' rates until it ends.
 func (a *Announcer) Renew() error {
-	fair, failures := 0, 0
+	fair, failures, turn := 0, 0, feed.NewTurn()
 	for {
-		next, ok := a.renew(fair, failures)
+		next, ok := a.renew(fair, failures, turn.Next())
 		if ok {
 			fair, failures = next, 0
 		} else {
@@ -110,7 +110,7 @@
 }
 
 // renew claims what was fair at the last renewal; it returns what is fair now.
-func (a *Announcer) renew(fair, skip int) (int, bool) {
+func (a *Announcer) renew(fair, skip int, turn feed.Turn) (int, bool) {
 	// What is to be given up is not used any more from before it is said.
 	a.ration.Shrink(fair)
 	asked := time.Now()
@@ -122,7 +122,7 @@
 	defer cancel()
 	var g feed.Grant
 	addrs := a.Registrars()
-	err := a.client.Call(ctx, addrs[skip%len(addrs)], "/ration", &feed.Claim{Node: a.Set.NodeName, Permille: fair, Fresh: fresh}, &g)
+	err := a.client.Call(ctx, addrs[skip%len(addrs)], "/ration", &feed.Claim{Node: a.Set.NodeName, Permille: fair, Fresh: fresh, Turn: turn}, &g)
 	if err != nil || !g.Granted {
 		return fair, false
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math/rand/v2"
 
 	"comethold/internal/notice"
 )
@@ -149,8 +150,24 @@
 type Share struct {
 	Permille int    `cbor:"1,keyasint"`
 	Beat     uint64 `cbor:"2,keyasint"`
+	Turn     Turn   `cbor:"3,keyasint,omitzero"` // of the claim that it comes from
 }
 
+// Turn numbers the claims of one life of a node, so that one that comes late is known.
+type Turn struct {
+	Life uint64 `cbor:"1,keyasint"`
+	N    uint64 `cbor:"2,keyasint"`
+}
+
+// NewTurn is that before the first claim of a life.
+func NewTurn() Turn { return Turn{Life: rand.Uint64()} }
+
+// Next moves on to the next claim.
+func (t *Turn) Next() Turn { t.N++; return *t }
+
+// Late reports whether a newer claim than t's has been settled already.
+func (t Turn) Late(settled Turn) bool { return t.Life == settled.Life && t.N < settled.N }
+
 // Claim asks for the renewal of a share. The asker uses no more than Permille
 // from before it asks.
 type Claim struct {
@@ -159,7 +176,8 @@
 	// Fresh: the asker uses nothing of its share now and takes what is fair.
 	Fresh bool `cbor:"3,keyasint,omitempty"`
 	// Of says which shares are meant.
-	Of Shares `cbor:"4,keyasint,omitempty"`
+	Of   Shares `cbor:"4,keyasint,omitempty"`
+	Turn Turn   `cbor:"5,keyasint,omitzero"`
 }
 
 // Shares names a table of leased shares.
--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -81,12 +81,12 @@
 
 // quotaLoop keeps the lease on this registrar's share, once there are tenants.
 func (r *Registrar) quotaLoop() {
-	fair := 0
+	fair, turn := 0, feed.NewTurn()
 	for {
 		pause := quotaRenew
 		if !r.quotas.wanted() {
 			pause = quotaFirst
-		} else if next, ok := r.renewQuota(fair); ok {
+		} else if next, ok := r.renewQuota(fair, turn.Next()); ok {
 			fair = next
 			if share, _ := r.quotas.bank.Share(time.Now()); share == 0 || int(share*ration.Whole+0.5) != fair {
 				pause = quotaFirst
@@ -104,14 +104,14 @@
 
 // renewQuota claims what was fair at the last renewal; it returns what is fair now.
 // What is to be given up is not used any more from before it is said.
-func (r *Registrar) renewQuota(fair int) (int, bool) {
+func (r *Registrar) renewQuota(fair int, turn feed.Turn) (int, bool) {
 	asked := time.Now()
 	b := r.quotas.bank
 	b.Shrink(float64(fair)/ration.Whole, asked)
 	share, leased := b.Share(asked)
 	ctx, cancel := context.WithTimeout(context.Background(), ration.QuotaHold/5)
 	defer cancel()
-	claim := feed.Claim{Of: feed.SharesOfQuotas, Node: r.set.NodeName, Permille: fair, Fresh: !leased}
+	claim := feed.Claim{Of: feed.SharesOfQuotas, Node: r.set.NodeName, Permille: fair, Fresh: !leased, Turn: turn}
 	v, err := r.host.attempt(ctx, ExchangeCell, "/claim", &claim, func(ctx context.Context) verdict { return r.claimHere(ctx, claim) })
 	if err != nil || !v.Grant.Granted {
 		return fair, false
--- a/internal/registrar/ration.go
+++ b/internal/registrar/ration.go
@@ -61,6 +61,9 @@
 			delete(k.seen, node)
 		}
 	}
+	if old, ok := next[c.Node]; ok && c.Turn.Late(old.Turn) {
+		return next, g // its node has moved on, and uses what it was granted since
+	}
 	holders := len(next)
 	if _, ok := next[c.Node]; !ok {
 		holders++
@@ -72,7 +75,8 @@
 		want = g.Fair
 	}
 	g.Permille = max(0, min(want, ration.Whole-others))
-	next[c.Node] = feed.Share{Permille: g.Permille, Beat: table[c.Node].Beat + 1}
+	g.Granted = true
+	next[c.Node] = feed.Share{Permille: g.Permille, Beat: table[c.Node].Beat + 1, Turn: c.Turn}
 	return next, g
 }
 
@@ -140,7 +144,6 @@
 			cancel()
 			for i, p := range mine {
 				if v.Committed {
-					grants[i].Granted = true
 					v.Grant = grants[i]
 				}
 				p.done <- v
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -101,6 +101,16 @@
 	if _, g := k.settle(table, feed.Claim{Node: "b", Fresh: true}, now); g.Permille > 1 {
 		t.Errorf("a newcomer is granted %d of what others hold", g.Permille)
 	}
+	// A claim that was given up and is settled after a newer one changes nothing.
+	turn := feed.NewTurn()
+	old, newer := feed.Claim{Node: "a", Permille: 100, Turn: turn.Next()}, feed.Claim{Node: "a", Permille: 300, Turn: turn.Next()}
+	table, _ = k.settle(table, newer, now)
+	if after, g := k.settle(table, old, now); g.Granted || after["a"] != table["a"] {
+		t.Errorf("a late claim is granted: %v, the share is %v", g, after["a"])
+	}
+	if _, g := k.settle(table, feed.Claim{Node: "a", Permille: 300, Turn: feed.NewTurn()}, now); !g.Granted {
+		t.Error("the first claim of a new life is not granted")
+	}
 }
 
 func TestReadPurge(t *testing.T) {
