A member says nothing before its vault's name is surely on the disk

Cause: vault.Open ignored a failed sync of the folder, so a name and promises that had been told could be lost with the file at a loss of power. Any error in opening (a lock still held by the former process, a full disk) put the file aside as damaged or ended the program. A founder stopped between the sync of its name and of the first cell founded nothing later.

Change: the file is made under another name, renamed, and its folder synced before Open returns; only what bbolt calls damage is put aside; a registrar opens its vault in Run, again and again, answers 503 until then and logs 202 for each refusal and after 2 s of silence. Name and first cell are one write. A damaged file never leads to the founders' name. A write that hangs keeps nobody from ending.

Measured: with the mending taken out the tests fail: failed sync of the folder ignored, see TestNames, told was and found differ; every error taken for damage, TestDiskInTrouble, 'a file that another process holds: <nil>'. go test ./internal/vault ./internal/registrar ./internal/scenario ok.

--- a/cmd/comethold/run.go
+++ b/cmd/comethold/run.go
@@ -18,6 +18,7 @@
 	"comethold/internal/registrar"
 	"comethold/internal/settings"
 	"comethold/internal/switchboard"
+	"comethold/internal/vault"
 	"comethold/internal/wire"
 
 	"github.com/oklog/run"
@@ -128,10 +129,7 @@
 	if set.Listen.ControlPlane == "" || set.DataDirectory == "" {
 		return errors.New("settings: a registrar needs listenAddresses.controlPlane and dataDirectory")
 	}
-	r, err := registrar.New(set, log, wire.Sockets)
-	if err != nil {
-		return err
-	}
+	r := registrar.New(set, log, wire.Sockets, vault.Files{})
 	var g run.Group
 	g.Add(r.Run, func(error) { r.Stop() })
 	udp, err := net.ListenPacket("udp4", registrar.InnerAddress(set))
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -42,6 +42,7 @@
 	senders       = 3
 	longestPause  = 300 * time.Millisecond
 	noLeaderPause = 60 * time.Millisecond
+	identityNote  = "identity" // in the vault
 )
 
 // Host runs the cells of one node. All cell state belongs to the goroutine of
@@ -83,8 +84,8 @@
 }
 
 // NewHost opens the node's cells from its vault.
-func NewHost(self Hello, port int, seeds []string, v *vault.Vault, call *wire.Client, log *event.Log) *Host {
-	return &Host{self: self, port: port, vault: v, log: log, call: call, start: time.Now(),
+func NewHost(self Hello, port int, seeds []string, v *vault.Vault, n wire.Net, log *event.Log) *Host {
+	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(n), start: time.Now(),
 		work: make(chan func(), 256), quit: make(chan struct{}), cells: map[string]*cell.Member{},
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
@@ -93,22 +94,34 @@
 		times: func() (int64, int64) { return 0, 0 }, timeSeen: func(string, int64, int64) {}}
 }
 
-// Identity returns the member name of this life of the disk, made and synced
-// at its first start. Only the very first start of the system may use a name
-// that the first membership counts on.
-func Identity(v *vault.Vault, addr string, first bool) (cell.MemberID, error) {
-	if id := v.Node("identity"); len(id) > 0 {
-		return cell.MemberID(id), nil
+// Identity returns the member name of this life of the disk, made and synced at its
+// first start. Only the very first start of the system may use a name that the first
+// membership counts on, and not where a file was put aside: that name may have voted.
+// A founder's part of the first cell is synced with its name, so a founder that was
+// stopped in between is one nevertheless.
+func Identity(v *vault.Vault, addr string, first, setAside bool, founders []cell.Seat) (id cell.MemberID, fresh bool, err error) {
+	if old := v.Node(identityNote); len(old) > 0 {
+		return cell.MemberID(old), false, nil
 	}
-	id := addr
-	if !first {
+	if first && !setAside {
+		id = cell.MemberID(addr)
+	} else {
 		var b [6]byte
 		if _, err := rand.Read(b[:]); err != nil {
-			return "", err
+			return "", false, err
 		}
-		id += "~" + hex.EncodeToString(b[:])
+		id = cell.MemberID(addr + "~" + hex.EncodeToString(b[:]))
 	}
-	return cell.MemberID(id), v.SetNode("identity", []byte(id))
+	var w cell.Writes
+	if (cell.Membership{Seats: founders}).Has(id) {
+		w.Snap = founding(founders)
+	}
+	return id, true, v.Found(identityNote, []byte(id), ExchangeCell, w)
+}
+
+// founding is the state of a cell at its beginning.
+func founding(seats []cell.Seat) *cell.Snapshot {
+	return &cell.Snapshot{State: map[string]cell.Value{}, Memberships: []cell.Membership{{From: 1, Seats: seats}}}
 }
 
 func (h *Host) now() time.Duration { return time.Since(h.start) }
@@ -138,7 +151,7 @@
 	if !found {
 		for _, s := range founders {
 			if s.ID == h.self.ID {
-				saved.Snap = &cell.Snapshot{State: map[string]cell.Value{}, Memberships: []cell.Membership{{From: 1, Seats: founders}}}
+				saved.Snap = founding(founders)
 			}
 		}
 		if saved.Snap != nil {
--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -158,6 +158,11 @@
 
 // Cast answers and sends datagrams until the node ends.
 func (r *Registrar) Cast(c net.PacketConn) error {
+	select {
+	case <-r.ready:
+	case <-r.quit:
+		return c.Close()
+	}
 	r.quotas.conn = c
 	for range quotaReads {
 		go r.listen(c)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -27,10 +27,15 @@
 	staleFrom = 1300 * time.Millisecond // without word from the majority
 )
 
+var errEnded = errors.New("registrar: told to end")
+
 // Registrar is the control plane of one node.
 type Registrar struct {
 	set   *settings.Settings
 	log   *event.Log
+	disk  vault.Disk
+	net   wire.Net
+	ready chan struct{} // closed once the vault is open: what follows is there
 	host  *Host
 	board *board
 	plat  *directory.Platform
@@ -53,6 +58,8 @@
 
 	reading  atomic.Bool // a list that another registrar holds is being fetched
 	mu       sync.Mutex
+	newSet   *settings.Settings // the last that was reloaded
+	ended    bool
 	seen     map[string]seenNode
 	suspects map[string]map[string]time.Time
 	reports  map[string]map[string]time.Time
@@ -72,34 +79,68 @@
 	at   time.Time
 }
 
-// New opens the vault and the cells of this node.
-func New(set *settings.Settings, log *event.Log, n wire.Net) (*Registrar, error) {
-	v, empty, err := vault.Open(set.DataDirectory, func(err error) {
+// New makes a registrar. It asks nothing of the disk; Run does.
+func New(set *settings.Settings, log *event.Log, n wire.Net, disk vault.Disk) *Registrar {
+	r := &Registrar{set: set, log: log, disk: disk, net: n, ready: make(chan struct{}), board: newBoard(), quit: make(chan struct{}),
+		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
+		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
+		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
+		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), usages: newUsages(n)}
+	if set.Platform.Address != "" {
+		r.plat = directory.NewPlatform(n, set.Platform.Address)
+	}
+	return r
+}
+
+// open opens the vault, as often as it takes: a disk in trouble is no reason to end.
+// Until then this registrar says nothing to the others and turns callers away.
+func (r *Registrar) open() {
+	failed := func(err error) {
 		if errors.Is(err, vault.ErrDamaged) {
-			log.Error(event.DiskDamaged).Err(err).Msg("the file of the cells is damaged and was put aside")
+			r.log.Error(event.DiskDamaged).Err(err).Msg("the file of the cells is damaged and was put aside")
 			return
 		}
-		log.Warn(event.DiskRefused).Err(err).Msg("the disk refuses a write; trying again")
-	})
+		r.log.Warn(event.DiskRefused).Err(err).Msg("the disk refuses a write or does not answer; trying again")
+	}
+	for ; ; time.Sleep(vault.RetryPause) {
+		select {
+		case <-r.quit:
+			return
+		default:
+		}
+		late := time.AfterFunc(vault.SilentAfter, func() { failed(vault.ErrSilent) })
+		v, err := vault.Open(r.set.DataDirectory, r.disk, failed)
+		if err == nil {
+			if err = r.begin(v); err != nil {
+				_ = v.Close()
+			}
+		}
+		late.Stop()
+		if err == nil {
+			return
+		}
+		failed(err)
+	}
+}
+
+// begin opens the cells of this node. The vault's name is on the disk by now.
+func (r *Registrar) begin(v *vault.Vault) error {
+	set, log := r.set, r.log
+	var founders []cell.Seat
+	if set.FirstStart {
+		for _, a := range set.SeedHosts() {
+			founders = append(founders, cell.Seat{ID: cell.MemberID(a), Addr: a})
+		}
+	}
+	id, empty, err := Identity(v, set.IPAddress, set.FirstStart, vault.SetAside(set.DataDirectory), founders)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if empty && !set.FirstStart {
 		log.Warn(event.DiskEmpty).Msg("the disk is empty on a later start: joining as a new member")
 	}
-	id, err := Identity(v, set.IPAddress, set.FirstStart)
-	if err != nil {
-		return nil, err
-	}
 	self := Hello{ID: id, Addr: set.IPAddress, Zone: set.AvailabilityZone, Name: set.NodeName}
-	r := &Registrar{set: set, log: log, board: newBoard(), quit: make(chan struct{}),
-		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
-		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
-		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
-		claims: make(chan *pendingClaim, 256), shares: newShareKeepers(), quotas: newQuotas(set.Bounds.Quota(), v.Node(floorNote)), notices: newNoticeBox(v.Node(inboxNote)), usages: newUsages(n)}
-	if set.Platform.Address != "" {
-		r.plat = directory.NewPlatform(n, set.Platform.Address)
-	}
+	r.quotas, r.notices = newQuotas(set.Bounds.Quota(), v.Node(floorNote)), newNoticeBox(v.Node(inboxNote))
 	// The list of the former life serves until the platform has been asked:
 	// leafs are called by name, so one that is gone does no harm.
 	if raw := v.Node("list"); raw != nil {
@@ -114,7 +155,7 @@
 		}
 	}
 	r.young = empty && set.FirstStart
-	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, wire.NewClient(n), log)
+	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, r.net, log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
 	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
@@ -128,18 +169,29 @@
 	for _, name := range set.UnknownDuties() {
 		log.Warn(event.DutyUnknown).Str("duty", name).Msg("the settings name a duty that this version does not know; it is not done")
 	}
-	var founders []cell.Seat
-	if set.FirstStart {
-		for _, a := range set.SeedHosts() {
-			founders = append(founders, cell.Seat{ID: cell.MemberID(a), Addr: a})
-		}
-	}
 	r.host.Open(ExchangeCell, founders)
-	return r, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return errEnded
+	}
+	if r.newSet != nil {
+		r.host.seeds = r.newSet.SeedHosts()
+	}
+	close(r.ready)
+	return nil
 }
 
 // Run does the work until Stop.
 func (r *Registrar) Run() error {
+	go r.open()
+	select {
+	case <-r.ready:
+	case <-r.quit:
+		if !r.isReady() {
+			return nil
+		}
+	}
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
@@ -154,7 +206,14 @@
 // Stop ends the duties, then the cells.
 func (r *Registrar) Stop() {
 	r.once.Do(func() {
+		r.mu.Lock()
+		r.ended = true
 		close(r.quit)
+		opened := r.isReady()
+		r.mu.Unlock()
+		if !opened {
+			return
+		}
 		done := make(chan struct{})
 		go func() { r.wg.Wait(); close(done) }()
 		select {
@@ -168,7 +227,31 @@
 
 // Reload takes new settings: the seeds may have been exchanged.
 func (r *Registrar) Reload(set *settings.Settings) {
-	r.host.do(func() { r.host.seeds = set.SeedHosts() })
+	r.mu.Lock()
+	r.newSet = set
+	r.mu.Unlock()
+	if r.isReady() {
+		r.host.do(func() { r.host.seeds = set.SeedHosts() })
+	}
+}
+
+func (r *Registrar) isReady() bool {
+	select {
+	case <-r.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// untilReady turns callers away until the vault is open.
+func (r *Registrar) untilReady(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !r.isReady() {
+			return refuse(c, http.StatusServiceUnavailable, "the disk of this node does not answer yet")
+		}
+		return next(c)
+	}
 }
 
 // cellChanged runs on the host's loop. Leases are renewed several times a second:
@@ -229,6 +312,7 @@
 // Operator serves what the operator calls.
 func (r *Registrar) Operator() *echo.Echo {
 	e := newEcho(r.log)
+	e.Use(r.untilReady)
 	e.POST("/Configuration.Replace", r.replace)
 	e.POST("/Configuration.Amend", r.amend)
 	e.POST("/purge", r.purge)
@@ -244,6 +328,7 @@
 // Inner serves what the system's own processes call.
 func (r *Registrar) Inner() *echo.Echo {
 	e := newEcho(r.log)
+	e.Use(r.untilReady)
 	e.POST("/cells", func(c echo.Context) error {
 		var b Batch
 		if err := wire.Read(c.Request().Body, &b); err != nil {
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -27,6 +27,7 @@
 	"comethold/internal/scenario"
 	"comethold/internal/settings"
 	"comethold/internal/switchboard"
+	"comethold/internal/vault"
 )
 
 // fleet is a whole system of registrars and switches on simulated time: every
@@ -267,10 +268,7 @@
 		if err := os.MkdirAll(set.DataDirectory, 0o755); err != nil {
 			f.t.Fatal(err)
 		}
-		reg, err := registrar.New(set, event.Nop(), n)
-		if err != nil {
-			f.t.Fatal(err)
-		}
+		reg := registrar.New(set, event.Nop(), n, vault.Files{})
 		m.reg = reg
 		go func() { _ = reg.Run() }()
 		go func() { _ = reg.Cast(f.mesh.cast(inner(settings.Registrar))) }()
--- /dev/null
+++ b/internal/vault/names_test.go
@@ -0,0 +1,145 @@
+package vault
+
+import (
+	"bytes"
+	"errors"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"comethold/internal/cell"
+	"comethold/internal/scenario"
+
+	bolt "go.etcd.io/bbolt"
+)
+
+// seeds is how many draws a test makes: few, or as many as COMETHOLD_SEEDS says.
+func seeds(few int) int {
+	if n, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS")); err == nil && n > 0 {
+		return n
+	}
+	return few
+}
+
+// TestNames: the power fails at any step from opening on, and of the names that were
+// not synced each is kept or lost. A name that was told, and what was promised under it,
+// is found again, whatever stood in the folder at first.
+func TestNames(t *testing.T) {
+	whole := filepath.Join(t.TempDir(), "whole")
+	if err := os.Mkdir(whole, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	v, _ := open2(t, whole)
+	if err := v.Found("identity", []byte("old"), "c", cell.Writes{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := v.Close(); err != nil {
+		t.Fatal(err)
+	}
+	old, err := os.ReadFile(filepath.Join(whole, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin := map[string]map[string][]byte{
+		"empty":            {},
+		"never synced":     {fileName: nil},
+		"half made":        {newName: old[:9000]},
+		"torn":             {fileName: bytes.Repeat([]byte{7}, 20000)},
+		"short":            {fileName: old[:4096]},
+		"put aside before": {fileName: bytes.Repeat([]byte{7}, 20000), damagedName: old},
+		"whole and other":  {fileName: old, newName: old, damagedName: nil},
+	}
+	for what, files := range begin {
+		for seed := range seeds(2) {
+			for stop := 1; stop <= 11; stop++ {
+				dir := t.TempDir()
+				for name, raw := range files {
+					if err := os.WriteFile(filepath.Join(dir, name), raw, 0o600); err != nil {
+						t.Fatal(err)
+					}
+				}
+				d := &scenario.Disk{Under: Files{}, Luck: rand.New(rand.NewSource(int64(seed*10000 + stop*100 + len(what)))).Float64, SyncFails: 0.4}
+				told, promised := "", uint64(0)
+				for life := 1; life <= 4; life++ {
+					d.StopAt(stop)
+					if life == 4 {
+						d.StopAt(0)
+						d.SyncFails = 0
+					}
+					v, err := Open(dir, d, func(error) {})
+					if err != nil && life == 4 {
+						t.Fatalf("%s, seed %d, stop %d: a sound disk: %v", what, seed, stop, err)
+					}
+					if err == nil {
+						id := string(v.Node("identity"))
+						s, _, err := v.Load("c")
+						if told != "" && (id != told || s.Promised.Round < promised || err != nil) {
+							t.Fatalf("%s, seed %d, stop %d, life %d: told was %q with %d, found is %q with %d, %v", what, seed, stop, life, told, promised, id, s.Promised.Round, err)
+						}
+						if id == "" {
+							id = strconv.Itoa(life)
+							err = v.Found("identity", []byte(id), "c", cell.Writes{})
+						}
+						if err == nil {
+							told = id
+							if v.disk.Update(v.db, func(tx *bolt.Tx) error {
+								return put(tx, "c", &cell.Writes{Promised: &cell.Ballot{Round: promised + 1}})
+							}) == nil {
+								promised++
+							}
+						}
+						if err := v.Close(); err != nil {
+							t.Fatal(err)
+						}
+					}
+					d.End()
+					d.Lose()
+				}
+				if told == "" || promised == 0 {
+					t.Fatalf("%s, seed %d, stop %d: the last life told nothing", what, seed, stop)
+				}
+			}
+		}
+	}
+}
+
+// TestDiskInTrouble: a disk that is full or does not sync names keeps a vault from being
+// opened, and puts nothing aside; a write that hangs is not waited for at the end.
+func TestDiskInTrouble(t *testing.T) {
+	dir := t.TempDir()
+	d := &scenario.Disk{Under: Files{}, Luck: func() float64 { return 0 }}
+	d.Set(true, false)
+	for range 3 {
+		if _, err := Open(dir, d, func(err error) { t.Error(err) }); !errors.Is(err, scenario.ErrFull) {
+			t.Fatalf("opened on a full disk: %v", err)
+		}
+	}
+	d.Set(false, false)
+	v, err := Open(dir, d, func(err error) {
+		if !errors.Is(err, scenario.ErrPower) {
+			t.Error(err)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, d, func(err error) { t.Error(err) }); err == nil || errors.Is(err, ErrDamaged) || SetAside(dir) {
+		t.Fatalf("a file that another process holds: %v", err)
+	}
+	d.Set(false, true)
+	v.Submit("c", cell.Writes{Promised: &cell.Ballot{Round: 1}}, func() { t.Error("synced by a disk that hangs") })
+	for busy := false; !busy; time.Sleep(time.Millisecond) {
+		v.mu.Lock()
+		busy = v.busy
+		v.mu.Unlock()
+	}
+	if err := v.Close(); !errors.Is(err, ErrSilent) {
+		t.Fatalf("closed: %v", err)
+	}
+	d.End()
+	d.Set(false, false)
+	<-v.gone
+}
--- a/internal/vault/torn_test.go
+++ b/internal/vault/torn_test.go
@@ -16,7 +16,7 @@
 func TestTorn(t *testing.T) {
 	dir := t.TempDir()
 	file := filepath.Join(dir, "vault.db")
-	v, _, err := Open(dir, func(err error) { t.Error(err) })
+	v, err := Open(dir, Files{}, func(err error) { t.Error(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,9 +64,9 @@
 			if err := os.WriteFile(filepath.Join(where, "vault.db"), torn, 0o600); err != nil {
 				t.Fatal(err)
 			}
-			v, empty, err := Open(where, func(err error) { t.Errorf("after sync %d, roots %v: %v", i+1, rootsToo, err) })
-			if err != nil || empty || string(v.Node("identity")) != "a" {
-				t.Fatalf("after sync %d, roots %v: empty %v, %v", i+1, rootsToo, empty, err)
+			v, err := Open(where, Files{}, func(err error) { t.Errorf("after sync %d, roots %v: %v", i+1, rootsToo, err) })
+			if err != nil || string(v.Node("identity")) != "a" {
+				t.Fatalf("after sync %d, roots %v: %v", i+1, rootsToo, err)
 			}
 			s, found, err := v.Load("c")
 			slot := uint64(i + 1)
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -15,12 +15,15 @@
 	"comethold/internal/wire"
 
 	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
-// Errors of this layer.
+// Errors of this layer. ErrDamaged is of the file itself; what is wrong with the disk
+// under it comes as it is, and passes.
 var (
 	ErrDamaged = errors.New("vault: the file cannot be read")
 	ErrClosed  = errors.New("vault: closed")
+	ErrSilent  = errors.New("vault: the disk does not answer")
 )
 
 var (
@@ -31,7 +34,72 @@
 	logBucket   = []byte("log")
 )
 
-const retryPause = 200 * time.Millisecond
+// Pacing of a disk in trouble.
+const (
+	RetryPause  = 200 * time.Millisecond
+	SilentAfter = 2 * time.Second // without an answer
+	closeWait   = time.Second     // for a disk that hangs
+)
+
+// Names of the files.
+const (
+	fileName    = "vault.db"
+	damagedName = fileName + ".damaged"
+	newName     = fileName + ".new"
+)
+
+// Disk is what a vault asks of the file system.
+type Disk interface {
+	Open(path string) (*bolt.DB, error)
+	// Update returns once what f wrote is synced.
+	Update(db *bolt.DB, f func(*bolt.Tx) error) error
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncDir returns once the names in a folder outlast a loss of power.
+	SyncDir(dir string) error
+}
+
+// Files is the Disk of the machine.
+type Files struct{}
+
+// Open opens a bbolt file, or makes it.
+func (Files) Open(path string) (db *bolt.DB, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", ErrDamaged, r)
+		}
+	}()
+	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
+	if err == nil {
+		db.AllocSize = 1 << 20
+	}
+	return db, err
+}
+
+// Update writes and syncs.
+func (Files) Update(db *bolt.DB, f func(*bolt.Tx) error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("vault: %v", r)
+		}
+	}()
+	return db.Update(f)
+}
+
+// Rename renames a file.
+func (Files) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (Files) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir syncs a folder.
+func (Files) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
 
 type job struct {
 	cell string
@@ -45,6 +113,7 @@
 // reaches the disk in order.
 type Vault struct {
 	db     *bolt.DB
+	disk   Disk
 	onFail func(error)
 
 	mu     sync.Mutex
@@ -55,45 +124,74 @@
 	gone   chan struct{}
 }
 
-// Open opens the file in dir, or makes it. A file that cannot be read is put
-// aside: the node then starts as one whose disk was lost. onFail is told of that,
-// and later of every write that the disk refuses.
-func Open(dir string, onFail func(error)) (*Vault, bool, error) {
-	path := filepath.Join(dir, "vault.db")
-	opts := &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType}
-	_, statErr := os.Stat(path)
-	db, err := open(path, opts)
-	if err != nil {
-		if statErr != nil {
-			return nil, false, fmt.Errorf("%w: %v", ErrDamaged, err)
+// Open opens the file in dir, or makes it, and returns once its name is surely on the
+// disk: what is told of a vault later must not be forgotten with it. A file that cannot
+// be read is put aside: the node then starts as one whose disk was lost. onFail is told
+// of that, and later of every write that the disk refuses. Where the disk is in trouble
+// Open returns an error and may be called again; what it has left by then does no harm.
+func Open(dir string, disk Disk, onFail func(error)) (*Vault, error) {
+	path := filepath.Join(dir, fileName)
+	db, err := openFile(dir, disk)
+	if errors.Is(err, ErrDamaged) {
+		onFail(err)
+		aside := filepath.Join(dir, damagedName)
+		// One put aside before may be this very file under both names: renaming would do nothing.
+		if err := disk.Remove(aside); err != nil && !os.IsNotExist(err) {
+			return nil, err
 		}
-		if rerr := os.Rename(path, path+".damaged"); rerr != nil {
-			return nil, false, fmt.Errorf("%w: %v; %v", ErrDamaged, err, rerr)
-		}
-		onFail(fmt.Errorf("%w: %v", ErrDamaged, err))
-		statErr = os.ErrNotExist
-		if db, err = open(path, opts); err != nil {
-			return nil, false, fmt.Errorf("%w: %v", ErrDamaged, err)
+		if err := disk.Rename(path, aside); err != nil {
+			return nil, err
 		}
+		db, err = openFile(dir, disk)
+	}
+	if err != nil {
+		return nil, err
 	}
-	if d, err := os.Open(dir); err == nil { // the file's name must outlast a loss of power
-		_ = d.Sync()
-		_ = d.Close()
+	if err := disk.SyncDir(dir); err != nil {
+		_ = db.Close()
+		return nil, err
 	}
-	db.AllocSize = 1 << 20
-	v := &Vault{db: db, onFail: onFail, gone: make(chan struct{})}
+	v := &Vault{db: db, disk: disk, onFail: onFail, gone: make(chan struct{})}
 	v.wake = sync.NewCond(&v.mu)
 	go v.run()
-	return v, statErr != nil, nil
+	return v, nil
 }
 
-func open(path string, opts *bolt.Options) (db *bolt.DB, err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("%v", r)
+// SetAside reports whether a file that could not be read was put aside in dir.
+func SetAside(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, damagedName))
+	return err == nil
+}
+
+// openFile opens the file, or makes it under another name first: under its own name it
+// is never there in part. An empty one was made by nobody who has said anything yet.
+func openFile(dir string, disk Disk) (*bolt.DB, error) {
+	path, fresh := filepath.Join(dir, fileName), filepath.Join(dir, newName)
+	info, err := os.Stat(path)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
+	if err != nil || info.Size() == 0 {
+		if err := disk.Remove(fresh); err != nil && !os.IsNotExist(err) {
+			return nil, err
 		}
-	}()
-	return bolt.Open(path, 0o600, opts)
+		db, err := disk.Open(fresh)
+		if err != nil {
+			return nil, err
+		}
+		if err := db.Close(); err != nil {
+			return nil, err
+		}
+		if err := disk.Rename(fresh, path); err != nil {
+			return nil, err
+		}
+	}
+	db, err := disk.Open(path)
+	if info, serr := os.Stat(path); err != nil && (errors.Is(err, berrors.ErrInvalid) || errors.Is(err, berrors.ErrVersionMismatch) ||
+		errors.Is(err, berrors.ErrChecksum) || serr == nil && info.Size() > 0 && info.Size() < int64(2*os.Getpagesize())) {
+		err = fmt.Errorf("%w: %v", ErrDamaged, err)
+	}
+	return db, err
 }
 
 // Node returns a value that the node itself keeps, or nil.
@@ -110,7 +208,17 @@
 
 // SetNode stores a value of the node itself and returns once it is synced.
 func (v *Vault) SetNode(key string, val []byte) error {
-	return v.db.Update(func(tx *bolt.Tx) error { return putNode(tx, key, val) })
+	return v.disk.Update(v.db, func(tx *bolt.Tx) error { return putNode(tx, key, val) })
+}
+
+// Found stores a value of the node and the beginning of a cell: both or neither.
+func (v *Vault) Found(key string, val []byte, name string, w cell.Writes) error {
+	return v.disk.Update(v.db, func(tx *bolt.Tx) error {
+		if err := putNode(tx, key, val); err != nil {
+			return err
+		}
+		return put(tx, name, &w)
+	})
 }
 
 func putNode(tx *bolt.Tx, key string, val []byte) error {
@@ -125,10 +233,17 @@
 func (v *Vault) NoteNode(key string, val []byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.closed {
-		v.jobs = append(v.jobs, job{key: key, val: val, done: func() {}})
-		v.wake.Signal()
+	if v.closed {
+		return
+	}
+	for i := range v.jobs {
+		if v.jobs[i].key == key {
+			v.jobs[i].val = val // what was not written yet need not be
+			return
+		}
 	}
+	v.jobs = append(v.jobs, job{key: key, val: val, done: func() {}})
+	v.wake.Signal()
 }
 
 func bucketOf(name string) []byte { return []byte("cell/" + name) }
@@ -211,12 +326,14 @@
 		v.jobs, v.busy = nil, true
 		v.mu.Unlock()
 		for {
+			late := time.AfterFunc(SilentAfter, func() { v.onFail(ErrSilent) })
 			err := v.write(batch)
+			late.Stop()
 			if err == nil {
 				break
 			}
 			v.onFail(err)
-			time.Sleep(retryPause)
+			time.Sleep(RetryPause)
 			v.mu.Lock()
 			closed := v.closed
 			v.mu.Unlock()
@@ -230,20 +347,19 @@
 	}
 }
 
-func (v *Vault) write(batch []job) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("vault: %v", r)
-		}
-	}()
+func (v *Vault) write(batch []job) error {
 	any := false
+	last := map[string]int{} // of a cell: its newest snapshot, which takes the place of those before
 	for i := range batch {
 		any = any || !batch[i].w.Empty() || batch[i].key != ""
+		if batch[i].w.Snap != nil {
+			last[batch[i].cell] = i
+		}
 	}
 	if !any {
 		return nil
 	}
-	return v.db.Update(func(tx *bolt.Tx) error {
+	return v.disk.Update(v.db, func(tx *bolt.Tx) error {
 		for i := range batch {
 			if batch[i].key != "" {
 				if err := putNode(tx, batch[i].key, batch[i].val); err != nil {
@@ -251,7 +367,11 @@
 				}
 				continue
 			}
-			if err := put(tx, batch[i].cell, &batch[i].w); err != nil {
+			w := batch[i].w
+			if n, ok := last[batch[i].cell]; ok && i < n {
+				w.Snap, w.DropTo = nil, 0
+			}
+			if err := put(tx, batch[i].cell, &w); err != nil {
 				return err
 			}
 		}
@@ -309,12 +429,22 @@
 	return b.Put(keyChosen, slotKey(w.Chosen))
 }
 
-// Close ends the vault; what was submitted and not yet synced is given up.
+// Close ends the vault; what was submitted and not yet synced is given up. A disk that
+// hangs is not waited for: the file is let go of when the process ends.
 func (v *Vault) Close() error {
 	v.mu.Lock()
 	v.closed = true
 	v.wake.Broadcast()
 	v.mu.Unlock()
-	<-v.gone
-	return v.db.Close()
+	done := make(chan error, 1)
+	go func() {
+		<-v.gone
+		done <- v.db.Close()
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(closeWait):
+		return ErrSilent
+	}
 }
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -11,11 +11,11 @@
 
 func open2(t *testing.T, dir string) (*Vault, bool) {
 	t.Helper()
-	v, empty, err := Open(dir, func(err error) { t.Log(err) })
+	v, err := Open(dir, Files{}, func(err error) { t.Log(err) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	return v, empty
+	return v, v.Node("identity") == nil
 }
 
 func (v *Vault) synced(name string, w cell.Writes) {
@@ -65,12 +65,12 @@
 		t.Fatal(err)
 	}
 	var told error
-	v, empty, err = Open(dir, func(err error) { told = err })
-	if err != nil || !errors.Is(told, ErrDamaged) {
+	v, err = Open(dir, Files{}, func(err error) { told = err })
+	if err != nil || !errors.Is(told, ErrDamaged) || !SetAside(dir) {
 		t.Fatalf("opened with %v, told %v", err, told)
 	}
 	defer v.Close()
-	if !empty || v.Node("identity") != nil {
+	if v.Node("identity") != nil {
 		t.Fatal("a damaged vault is not taken for an empty one")
 	}
 }
