--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -53,7 +53,10 @@
 	current  time.Duration // when our state last included all that the proposer said was chosen
 	deadline time.Duration
 	askedAt  time.Duration
+	askedOf  MemberID
+	askWait  time.Duration
 	asked    bool
+	taught   map[MemberID]teaching
 
 	seq       uint64
 	beatAt    time.Duration
@@ -72,7 +75,7 @@
 func New(p Params, s Saved, now time.Duration) *Member {
 	m := &Member{p: p, log: map[uint64]*Entry{}, promised: s.Promised, maxRound: s.Promised.Round,
 		waiting: map[string]bool{}, acked: map[MemberID]uint64{}, ackedAt: map[MemberID]time.Duration{},
-		learnt: map[MemberID]uint64{}, reads: map[uint64][]uint64{}}
+		learnt: map[MemberID]uint64{}, taught: map[MemberID]teaching{}, reads: map[uint64][]uint64{}}
 	m.st.kv = map[string]Value{}
 	if s.Snap != nil {
 		m.load(s.Snap)
@@ -316,7 +319,7 @@
 			m.ackedBeat(msg.From, msg.Seq, now)
 		}
 	case Ask:
-		m.onAsk(msg)
+		m.onAsk(now, msg)
 	case Teach:
 		m.onTeach(now, msg)
 	}
@@ -361,7 +364,9 @@
 	r := Message{Kind: Promise, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied, Slot: msg.Slot}
 	from := msg.Slot
 	if from < m.base {
-		r.Snap = m.st.snapshot(m.applied)
+		if m.maySnap(now, msg.From, from) {
+			r.Snap = m.st.snapshot(m.applied)
+		}
 		from = m.applied
 	}
 	r.Entries = m.segment(from, ^uint64(0))
--- a/internal/cell/proposer.go
+++ b/internal/cell/proposer.go
@@ -207,6 +207,9 @@
 
 func (m *Member) onPromise(now time.Duration, msg Message) {
 	if m.role == Listening || msg.Ballot != m.ballot || m.promises[msg.From] {
+		if msg.Snap != nil {
+			m.onTeach(now, msg) // late for the bid, and as true as ever
+		}
 		return
 	}
 	m.learn(now, msg)
--- a/internal/cell/teach.go
+++ b/internal/cell/teach.go
@@ -16,6 +16,52 @@
 	return out
 }
 
+// Size is about how many bytes a message takes.
+func (msg *Message) Size() int {
+	n := 64
+	for i := range msg.Entries {
+		n += entrySize(&msg.Entries[i])
+	}
+	if msg.Snap != nil {
+		st := state{kv: msg.Snap.State}
+		n += st.size()
+	}
+	return n
+}
+
+// teaching is the last snapshot that a member was sent, and where it stood then.
+type teaching struct {
+	slot uint64
+	at   time.Duration
+	wait time.Duration
+}
+
+// mostWait bounds, in beats, how long a member that has come no further waits until it
+// asks again, or is sent a whole snapshot again.
+const mostWait = 16
+
+// longer doubles a pause up to the bound.
+func (m *Member) longer(wait time.Duration) time.Duration {
+	return min(2*wait, mostWait*m.p.Beat)
+}
+
+// maySnap reports whether a member that stands at a position is to be sent a snapshot
+// now: one that was sent not long ago may be under way.
+func (m *Member) maySnap(now time.Duration, to MemberID, slot uint64) bool {
+	t, ok := m.taught[to]
+	switch {
+	case !ok || t.slot != slot:
+		t = teaching{slot: slot, wait: m.p.Beat}
+	case now-t.at < t.wait:
+		return false
+	default:
+		t.wait = m.longer(t.wait)
+	}
+	t.at = now
+	m.taught[to] = t
+	return true
+}
+
 // catchUp applies what the proposer says is chosen as far as we hold it from
 // that very proposer, and asks to be taught the rest. A newcomer applies nothing
 // before it has been taught a snapshot: the first membership stands in no log.
@@ -28,16 +74,19 @@
 		m.applyNext()
 	}
 	if m.applied >= chosen {
-		m.asked, m.current = false, now
+		m.asked, m.askWait, m.current = false, 0, now
 		return
 	}
-	if !m.asked || now-m.askedAt >= m.p.Beat {
-		m.asked, m.askedAt = true, now
+	if !m.asked || m.askedOf != b.By || now-m.askedAt >= m.askWait {
+		if m.askWait = m.longer(m.askWait); m.askWait == 0 || m.askedOf != b.By {
+			m.askWait = m.p.Beat
+		}
+		m.asked, m.askedOf, m.askedAt = true, b.By, now
 		m.send(Message{Kind: Ask, To: b.By, Slot: m.applied, Fresh: !m.st.founded()})
 	}
 }
 
-func (m *Member) onAsk(msg Message) {
+func (m *Member) onAsk(now time.Duration, msg Message) {
 	if !m.st.founded() || msg.Slot >= m.applied && !msg.Fresh {
 		return
 	}
@@ -54,13 +103,18 @@
 		}
 		r.Entries = nil
 	}
-	r.Snap = m.st.snapshot(m.applied)
-	m.send(r)
+	if m.maySnap(now, msg.From, msg.Slot) {
+		r.Snap = m.st.snapshot(m.applied)
+		m.send(r)
+	}
 }
 
 func (m *Member) onTeach(now time.Duration, msg Message) {
+	before := m.applied
 	m.learn(now, msg)
-	m.asked = false
+	if m.asked = false; m.applied > before {
+		m.askWait = 0
+	}
 	m.pump(now)
 }
 
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -53,6 +53,7 @@
 	vault *vault.Vault
 	log   *event.Log
 	call  *wire.Client
+	bulk  *wire.Client // for large messages
 	start time.Time
 
 	work  chan func()
@@ -85,7 +86,7 @@
 
 // NewHost opens the node's cells from its vault.
 func NewHost(self Hello, port int, seeds []string, v *vault.Vault, n wire.Net, log *event.Log) *Host {
-	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(n), start: time.Now(),
+	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(n), bulk: wire.NewClient(wire.LowWater(n, bulkWater)), start: time.Now(),
 		work: make(chan func(), 256), quit: make(chan struct{}), cells: map[string]*cell.Member{},
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -8,6 +8,7 @@
 
 	"comethold/internal/cell"
 	"comethold/internal/feed"
+	"comethold/internal/wire"
 )
 
 // Hello introduces a registrar to the others.
@@ -28,11 +29,83 @@
 	Agreed int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Sending. Ours; see docs/design.md.
+const (
+	sendBase     = 1500 * time.Millisecond // a batch may take so long, and
+	sendRate     = 16 << 10                // a second more for so many bytes
+	sendMost     = time.Minute
+	bulkFrom     = 32 << 10 // a message of this size goes by itself
+	batchBytes   = 64 << 10
+	maxBulkQueue = 16
+	bulkWater    = 32 << 10 // bytes of it that wait in this machine
+)
+
+// sendLimit is how long a body of so many bytes may be under way.
+func sendLimit(n int) time.Duration {
+	return min(sendMost, sendBase+time.Duration(float64(n)/sendRate*float64(time.Second)))
+}
+
 type peer struct {
 	hello Hello
 	heard time.Duration
 	queue []cell.Message
 	wake  chan struct{}
+	bulk  lane
+}
+
+// lane holds the large messages to one peer, which go one at a time, so that greetings and
+// beats need not wait behind them.
+type lane struct {
+	queue []cell.Message
+	away  *cell.Message // the one that is under way
+	wake  chan struct{}
+}
+
+// put queues a large message. What is under way, or waits, is not sent a second time: a
+// snapshot of a cell, or the same message. What is left of one that went without its
+// snapshot is handed back.
+func (l *lane) put(msg cell.Message) *cell.Message {
+	has := func(f func(*cell.Message) bool) bool {
+		if l.away != nil && f(l.away) {
+			return true
+		}
+		for i := range l.queue {
+			if f(&l.queue[i]) {
+				return true
+			}
+		}
+		return false
+	}
+	if msg.Snap != nil && has(func(o *cell.Message) bool { return o.Cell == msg.Cell && o.Snap != nil }) {
+		if msg.Kind == cell.Teach {
+			return nil
+		}
+		msg.Snap = nil // a promise that cannot be counted yet still tells how far its sender is
+		if msg.Size() < bulkFrom {
+			return &msg
+		}
+	}
+	if len(l.queue) >= maxBulkQueue || has(func(o *cell.Message) bool {
+		return o.Cell == msg.Cell && o.Kind == msg.Kind && o.Ballot == msg.Ballot && (msg.Kind != cell.Accept || o.Entries[0].Slot == msg.Entries[0].Slot)
+	}) {
+		return nil
+	}
+	l.queue = append(l.queue, msg)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// take hands out the next message; what was under way is no more.
+func (l *lane) take() *cell.Message {
+	l.away = nil
+	if len(l.queue) > 0 {
+		msg := l.queue[0]
+		l.queue, l.away = l.queue[1:], &msg
+	}
+	return l.away
 }
 
 // live lists the registrars heard in the last while, this one among them.
@@ -143,16 +216,30 @@
 	h.peersMu.Lock()
 	p := h.peers[addr]
 	if p == nil {
-		p = &peer{wake: make(chan struct{}, senders)}
+		p = &peer{wake: make(chan struct{}, senders), bulk: lane{wake: make(chan struct{}, 1)}}
 		h.peers[addr] = p
 		for range senders {
 			go h.sendLoop(addr, p)
 		}
+		go h.bulkLoop(addr, p)
+	}
+	for i := range msgs {
+		small := &msgs[i]
+		if small.Size() >= bulkFrom {
+			small = p.bulk.put(*small)
+		}
+		if small != nil {
+			p.queue = append(p.queue, *small)
+		}
 	}
-	if len(p.queue)+len(msgs) <= maxPeerQueue {
-		p.queue = append(p.queue, msgs...)
+	if over := len(p.queue) - maxPeerQueue; over > 0 {
+		p.queue = p.queue[over:] // what is newer counts more
 	}
 	h.peersMu.Unlock()
+	p.wakeOne()
+}
+
+func (p *peer) wakeOne() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -160,7 +247,6 @@
 }
 
 func (h *Host) sendLoop(addr string, p *peer) {
-	to := net.JoinHostPort(addr, strconv.Itoa(h.port))
 	for {
 		select {
 		case <-p.wake:
@@ -168,15 +254,48 @@
 			return
 		}
 		h.peersMu.Lock()
-		msgs := p.queue
-		p.queue = nil
+		n, bytes := 0, 0
+		for n < len(p.queue) && (n == 0 || bytes < batchBytes) {
+			bytes += p.queue[n].Size()
+			n++
+		}
+		msgs := p.queue[:n:n]
+		p.queue = p.queue[n:]
+		if len(p.queue) > 0 {
+			p.wakeOne()
+		}
+		h.peersMu.Unlock()
+		h.sendBatch(h.call, addr, msgs)
+	}
+}
+
+func (h *Host) bulkLoop(addr string, p *peer) {
+	for {
+		h.peersMu.Lock()
+		msg := p.bulk.take()
 		h.peersMu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-		b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
-		b.Wall, b.Agreed = h.times()
-		_ = h.call.Call(ctx, to, "/cells", b, nil)
-		cancel()
+		if msg != nil {
+			h.sendBatch(h.bulk, addr, []cell.Message{*msg})
+			continue
+		}
+		select {
+		case <-p.bulk.wake:
+		case <-h.quit:
+			return
+		}
+	}
+}
+
+func (h *Host) sendBatch(by *wire.Client, addr string, msgs []cell.Message) {
+	b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
+	b.Wall, b.Agreed = h.times()
+	body, err := wire.Encode(b)
+	if err != nil {
+		return
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), sendLimit(len(body)))
+	defer cancel()
+	_ = by.Post(ctx, net.JoinHostPort(addr, strconv.Itoa(h.port)), "/cells", body, nil)
 }
 
 // Receive takes in what another registrar sent.
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -38,6 +38,7 @@
 	mesh     *mesh
 	machines map[string]*machine
 	losses   int
+	routes   int // more of them in the configurations from now on
 	seeds    []string
 	started  bool
 
@@ -117,6 +118,7 @@
 type machine struct {
 	name, zone, addr string
 	disk             bool
+	data             *scenario.Disk
 	born             bool // it has run before
 	reg              *registrar.Registrar
 	sw               *switchboard.Switch
@@ -268,7 +270,10 @@
 		if err := os.MkdirAll(set.DataDirectory, 0o755); err != nil {
 			f.t.Fatal(err)
 		}
-		reg := registrar.New(set, event.Nop(), n, vault.Files{})
+		if m.data == nil {
+			m.data = &scenario.Disk{Under: vault.Files{}, Luck: f.mesh.luck}
+		}
+		reg := registrar.New(set, event.Nop(), n, m.data)
 		m.reg = reg
 		go func() { _ = reg.Run() }()
 		go func() { _ = reg.Cast(f.mesh.cast(inner(settings.Registrar))) }()
@@ -286,6 +291,7 @@
 		f.mesh.down(m.addr, "")
 		sw.Close()
 		if m.reg != nil {
+			m.data.End()
 			m.reg.Stop()
 		}
 		for _, s := range servers {
@@ -325,7 +331,17 @@
 		raw, _ := json.Marshal(slices.Collect(maps.Values(f.tenants)))
 		tenants = `"tenants":` + string(raw) + `,`
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
+	more := &strings.Builder{}
+	for i := range f.routes { // they differ, so that they don't compress to nothing
+		rng := rand.New(rand.NewSource(int64(i)))
+		if i == int(version)%f.routes {
+			rng.Seed(int64(version * 1000))
+		}
+		long := make([]byte, 400)
+		_, _ = rng.Read(long)
+		fmt.Fprintf(more, `{"name":"m%d","hostname":"h.example","pathPrefix":"/m%d/%x/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"},`, i, i, long)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[`+more.String()+`{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
 }
 
 // order sends a configuration to a machine, again and again on 503 if patient.
@@ -502,6 +518,60 @@
 		f.mesh.mu.Lock()
 		f.mesh.lossy, _ = strconv.ParseFloat(c.Word(0), 64)
 		f.mesh.mu.Unlock()
+	case "slow": // slow NAMES KBPS: the links of these machines take so many kilobits a second each way; 0: no bound
+		f.mesh.mu.Lock()
+		for _, m := range f.pick(c.Word(0)) {
+			f.mesh.rates[m.addr] = float64(uintOf(1)) * 1000 / 8
+		}
+		f.mesh.mu.Unlock()
+	case "disk": // disk NAMES ok|full|hangs
+		for _, m := range f.pick(c.Word(0)) {
+			if m.data == nil {
+				m.data = &scenario.Disk{Under: vault.Files{}, Luck: f.mesh.luck}
+			}
+			m.data.Set(c.Word(1) == "full", c.Word(1) == "hangs")
+		}
+	case "power": // power NAMES: they lose power, and names that were not synced may be lost
+		var wg sync.WaitGroup
+		for _, m := range f.pick(c.Word(0)) {
+			f.mesh.down(m.addr, "")
+			wg.Go(func() {
+				if m.stop != nil {
+					m.stop()
+				}
+				if m.data != nil {
+					m.data.Lose()
+				}
+			})
+		}
+		wg.Wait()
+	case "routes": // routes N: so many more in the configurations from now on
+		f.routes = int(uintOf(0))
+	case "changes": // changes FROM N AT [gap=]: so many, one on the other; each is acknowledged
+		for i := range uintOf(1) {
+			v := uintOf(0) + i
+			if st := f.order(f.pick(c.Word(2))[0], v, f.newest, "", 8*time.Second); st != http.StatusOK {
+				return fmt.Errorf("version %d: %d", v, st)
+			}
+			time.Sleep(time.Duration(c.Number("gap", 50)) * time.Millisecond)
+		}
+		f.statusL = map[string]int{}
+	case "want-applied": // want-applied VERSION NAMES WITHIN: decided by these registrars themselves
+		last := ""
+		err := f.until(c.Millis(2), "the version at "+c.Word(1), func() bool {
+			for _, m := range f.pick(c.Word(1)) {
+				_, raw := f.call(m, http.MethodGet, "/Notices.Read", 0, "")
+				var v registrar.NoticesView
+				last = fmt.Sprintf("%.200s", raw)
+				if json.Unmarshal([]byte(raw), &v) != nil || v.Decided["configuration"] < uintOf(0) {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return errors.Join(err, errors.New(last))
+		}
 	case "list", "drain", "unlist": // ID...
 		f.mu.Lock()
 		for _, id := range c.Words {
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -20,6 +20,8 @@
 	cut    map[[2]string]bool
 	conns  []*meshConn
 	casts  map[string]*meshCast
+	rates  map[string]float64      // bytes a second, each way, of a machine's link
+	busy   map[[2]string]time.Time // until when a link is taken, each way
 	lossy  float64
 	luck   func() float64
 	closed bool
@@ -46,7 +48,7 @@
 )
 
 func newMesh(luck func() float64) *mesh {
-	return &mesh{ports: map[string]*port{}, lives: map[string]int{}, cut: map[[2]string]bool{}, casts: map[string]*meshCast{}, luck: luck}
+	return &mesh{ports: map[string]*port{}, lives: map[string]int{}, cut: map[[2]string]bool{}, casts: map[string]*meshCast{}, rates: map[string]float64{}, busy: map[[2]string]time.Time{}, luck: luck}
 }
 
 func hostOf(addr string) string { h, _, _ := net.SplitHostPort(addr); return h }
@@ -114,7 +116,42 @@
 			return 0, errSilent
 		}
 	}
-	return c.Conn.Write(b)
+	n := 0
+	for len(b) > 0 {
+		part := b[:min(len(b), meshPart)]
+		c.m.pass(c.from, c.to, len(part))
+		k, err := c.Conn.Write(part)
+		if n += k; err != nil {
+			return n, err
+		}
+		b = b[k:]
+	}
+	return n, nil
+}
+
+// meshPart is what goes over a link at a time: connections share it in turn.
+const meshPart = 4 << 10
+
+// pass waits until so many bytes have gone over the links of both machines.
+func (m *mesh) pass(from, to string, n int) {
+	m.mu.Lock()
+	end := time.Now()
+	for _, link := range [][2]string{{from, "out"}, {to, "in"}} {
+		if r := m.rates[link[0]]; r > 0 {
+			at := m.busy[link]
+			if now := time.Now(); at.Before(now) {
+				at = now
+			}
+			m.busy[link] = at.Add(time.Duration(float64(n) / r * float64(time.Second)))
+			if m.busy[link].After(end) {
+				end = m.busy[link]
+			}
+		}
+	}
+	m.mu.Unlock()
+	if wait := time.Until(end); wait > 0 {
+		time.Sleep(wait)
+	}
 }
 
 func (m *mesh) listen(addr string) net.Listener {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,6 +105,21 @@
 	return Dialer(limit, silent).DialContext
 }
 
+// LowWater wraps a Net so that little of what is written waits in this machine: on a
+// slow link what others write then does not stand behind it.
+func LowWater(n Net, bytes int) Net {
+	return func(limit, silent time.Duration) func(context.Context, string, string) (net.Conn, error) {
+		dial := n(limit, silent)
+		return func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dial(ctx, network, addr)
+			if t, ok := c.(*net.TCPConn); ok && err == nil {
+				_ = t.SetWriteBuffer(bytes)
+			}
+			return c, err
+		}
+	}
+}
+
 // Client calls other processes.
 type Client struct{ h *http.Client }
 
@@ -123,11 +138,25 @@
 
 // Call posts in to the peer's path and decodes the answer into out, if any.
 func (c *Client) Call(ctx context.Context, addr, path string, in, out any) error {
+	body, err := Encode(in)
+	if err != nil {
+		return err
+	}
+	return c.Post(ctx, addr, path, body, out)
+}
+
+// Encode makes the body of a call.
+func Encode(in any) ([]byte, error) {
 	b, err := Marshal(in)
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrGarbled, err)
+		return nil, fmt.Errorf("%w: %v", ErrGarbled, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(Pack(b)))
+	return Pack(b), nil
+}
+
+// Post is Call with a body that is encoded already.
+func (c *Client) Post(ctx context.Context, addr, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrGarbled, err)
 	}
@@ -137,8 +166,7 @@
 		return fmt.Errorf("%w: %v", ErrUnreachable, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxUnpacked))
-	if err != nil {
+	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxUnpacked)); err != nil {
 		return fmt.Errorf("%w: %v", ErrUnreachable, err)
 	}
 	if resp.StatusCode/100 != 2 {
