--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -33,6 +33,7 @@
 const (
 	sendBase     = 1500 * time.Millisecond // a batch may take so long, and
 	sendRate     = 16 << 10                // a second more for so many bytes
+	bulkRate     = 4 << 10                 // of a large message; a peer that is dead is noticed sooner
 	sendMost     = time.Minute
 	bulkFrom     = 32 << 10 // a message of this size goes by itself
 	batchBytes   = 64 << 10
@@ -41,8 +42,8 @@
 )
 
 // sendLimit is how long a body of so many bytes may be under way.
-func sendLimit(n int) time.Duration {
-	return min(sendMost, sendBase+time.Duration(float64(n)/sendRate*float64(time.Second)))
+func sendLimit(bytes int, rate float64) time.Duration {
+	return min(sendMost, sendBase+time.Duration(float64(bytes)/rate*float64(time.Second)))
 }
 
 type peer struct {
@@ -265,7 +266,7 @@
 			p.wakeOne()
 		}
 		h.peersMu.Unlock()
-		h.sendBatch(h.call, addr, msgs)
+		h.sendBatch(h.call, sendRate, addr, msgs)
 	}
 }
 
@@ -275,7 +276,7 @@
 		msg := p.bulk.take()
 		h.peersMu.Unlock()
 		if msg != nil {
-			h.sendBatch(h.bulk, addr, []cell.Message{*msg})
+			h.sendBatch(h.bulk, bulkRate, addr, []cell.Message{*msg})
 			continue
 		}
 		select {
@@ -286,14 +287,14 @@
 	}
 }
 
-func (h *Host) sendBatch(by *wire.Client, addr string, msgs []cell.Message) {
+func (h *Host) sendBatch(by *wire.Client, rate float64, addr string, msgs []cell.Message) {
 	b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
 	b.Wall, b.Agreed = h.times()
 	body, err := wire.Encode(b)
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sendLimit(len(body)))
+	ctx, cancel := context.WithTimeout(context.Background(), sendLimit(len(body), rate))
 	defer cancel()
 	_ = by.Post(ctx, net.JoinHostPort(addr, strconv.Itoa(h.port)), "/cells", body, nil)
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -250,3 +250,39 @@
 		t.Errorf("%d sums are known", len(b.held.by))
 	}
 }
+
+// TestLane: of what is large, nothing goes a second time while it is under way, and a
+// promise goes without the snapshot that is.
+func TestLane(t *testing.T) {
+	l := lane{wake: make(chan struct{}, 1)}
+	snap := func() *cell.Snapshot {
+		return &cell.Snapshot{State: map[string]cell.Value{"k": cell.Bytes(make([]byte, bulkFrom))}}
+	}
+	large := func(slot uint64) []cell.Entry {
+		return []cell.Entry{{Slot: slot, Txns: []cell.Txn{{ID: strings.Repeat("x", bulkFrom)}}}}
+	}
+	l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+	if m := l.take(); m == nil || m.Snap == nil {
+		t.Fatalf("the snapshot is not sent: %v", m)
+	}
+	for range 3 {
+		l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+		l.put(cell.Message{Cell: "a", Kind: cell.Accept, Entries: large(7)})
+	}
+	if rest := l.put(cell.Message{Cell: "a", Kind: cell.Promise, Ballot: cell.Ballot{Round: 2}, Snap: snap()}); rest == nil || rest.Snap != nil || rest.Ballot.Round != 2 {
+		t.Errorf("of the promise goes %v", rest)
+	}
+	l.put(cell.Message{Cell: "b", Kind: cell.Teach, Snap: snap()})
+	l.put(cell.Message{Cell: "a", Kind: cell.Accept, Entries: large(8)})
+	var got []string
+	for m := l.take(); m != nil; m = l.take() {
+		got = append(got, fmt.Sprint(m.Cell, m.Kind, len(m.Entries)))
+	}
+	if want := fmt.Sprint([]string{fmt.Sprint("a", cell.Accept, 1), fmt.Sprint("b", cell.Teach, 0), fmt.Sprint("a", cell.Accept, 1)}); fmt.Sprint(got) != want {
+		t.Errorf("sent are %v, not %v", got, want)
+	}
+	l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+	if l.take() == nil {
+		t.Error("nothing is under way, and the snapshot is not sent")
+	}
+}
