--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	NoticeRetry       Number = 309
 	NoticeQuarantined Number = 310
 	NoticeRedriven    Number = 311
+	NoticeDropped     Number = 312
 	NodeDown          Number = 402
 	DutyTaken         Number = 403
 	DutyLost          Number = 404
--- a/internal/registrar/notices.go
+++ b/internal/registrar/notices.go
@@ -23,6 +23,7 @@
 const (
 	keepReceipts   = 256 // of configurations
 	keepPublished  = 128 // rows that were sent
+	keepUnsent     = 128 // and that were not; what those before speak of is in the state
 	keepQuarantine = 64
 	publishEvery   = 500 * time.Millisecond
 	publishWork    = 1500 * time.Millisecond
@@ -234,7 +235,7 @@
 	var claimed []keyedRow
 	var t cell.Txn
 	known := map[string]bool{}
-	published := 0
+	published, unsent := 0, 0
 	for i := len(rows) - 1; i >= 0; i-- { // newest first: the oldest of those that were sent are swept
 		k := rows[i]
 		known[k.key] = true
@@ -247,6 +248,11 @@
 			}
 			continue
 		}
+		if unsent++; unsent > keepUnsent {
+			t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: k.key})
+			r.log.Warn(event.NoticeDropped).Str("eventId", k.row.Notice.EventID).Msg("a notice that not every registrar has taken is dropped for newer ones")
+			continue
+		}
 		next, err := k.row.Claim(owner, now.Sub(seen[k.key].at))
 		if err != nil {
 			continue
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -28,6 +28,7 @@
 	"comethold/internal/settings"
 	"comethold/internal/switchboard"
 	"comethold/internal/vault"
+	"comethold/internal/wire"
 )
 
 // fleet is a whole system of registrars and switches on simulated time: every
@@ -572,6 +573,12 @@
 		if err != nil {
 			return errors.Join(err, errors.New(last))
 		}
+	case "want-state": // want-state KILOBYTES NAME rows=: what the disk of a machine that is down holds of the exchange cell is no larger, nor its outbox
+		size, rows, what, err := stateOf(filepath.Join(f.dir, c.Word(1)))
+		if err == nil && (size > int(uintOf(0))<<10 || rows > int(c.Number("rows", 1e6))) {
+			err = fmt.Errorf("%d bytes: %s", size, what)
+		}
+		return err
 	case "list", "drain", "unlist": // ID...
 		f.mu.Lock()
 		for _, id := range c.Words {
@@ -854,6 +861,27 @@
 	return nil
 }
 
+// stateOf says how much a disk holds of the exchange cell, and of what.
+func stateOf(dir string) (size, rows int, what string, err error) {
+	v, err := vault.Open(dir, vault.Files{}, func(error) {})
+	if err != nil {
+		return 0, 0, "", err
+	}
+	defer v.Close()
+	s, _, err := v.Load(registrar.ExchangeCell)
+	if err != nil || s.Snap == nil {
+		return 0, 0, "", errors.Join(err, errors.New("no snapshot"))
+	}
+	raw, err := wire.Marshal(&s)
+	by, keys := map[string]int{}, map[string]int{}
+	for k, val := range s.Snap.State {
+		kind, _, _ := strings.Cut(k, "/")
+		by[kind] += len(k) + len(val.Bytes)
+		keys[kind]++
+	}
+	return len(raw), keys["outbox"], fmt.Sprintf("%d packed, %d entries, keys %v, bytes %v", len(wire.Pack(raw)), len(s.Entries), keys, by), err
+}
+
 func TestFleet(t *testing.T) {
 	scenario.Play(t, "testdata/fleet", func(t *testing.T, run func(*testing.T)) { synctest.Test(t, run) }, func(t *testing.T) scenario.World {
 		f := newFleet(t)
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -119,39 +119,38 @@
 	n := 0
 	for len(b) > 0 {
 		part := b[:min(len(b), meshPart)]
-		c.m.pass(c.from, c.to, len(part))
+		for wait := c.m.taken(c.from, c.to, 0); wait > 0; wait = c.m.taken(c.from, c.to, 0) {
+			time.Sleep(wait)
+		}
 		k, err := c.Conn.Write(part)
 		if n += k; err != nil {
 			return n, err
 		}
 		b = b[k:]
+		time.Sleep(c.m.taken(c.from, c.to, k))
 	}
 	return n, nil
 }
 
-// meshPart is what goes over a link at a time: connections share it in turn.
+// meshPart is what goes over a link at a time: connections share it.
 const meshPart = 4 << 10
 
-// pass waits until so many bytes have gone over the links of both machines.
-func (m *mesh) pass(from, to string, n int) {
+// taken returns for how long the links of both machines are taken once so many bytes more
+// go over them.
+func (m *mesh) taken(from, to string, n int) (wait time.Duration) {
 	m.mu.Lock()
-	end := time.Now()
-	for _, link := range [][2]string{{from, "out"}, {to, "in"}} {
-		if r := m.rates[link[0]]; r > 0 {
-			at := m.busy[link]
-			if now := time.Now(); at.Before(now) {
-				at = now
-			}
-			m.busy[link] = at.Add(time.Duration(float64(n) / r * float64(time.Second)))
-			if m.busy[link].After(end) {
-				end = m.busy[link]
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, l := range [][2]string{{from, "out"}, {to, "in"}} {
+		if r := m.rates[l[0]]; r > 0 {
+			if m.busy[l].Before(now) {
+				m.busy[l] = now
 			}
+			m.busy[l] = m.busy[l].Add(time.Duration(float64(n) / r * float64(time.Second)))
+			wait = max(wait, m.busy[l].Sub(now))
 		}
 	}
-	m.mu.Unlock()
-	if wait := time.Until(end); wait > 0 {
-		time.Sleep(wait)
-	}
+	return wait
 }
 
 func (m *mesh) listen(addr string) net.Listener {
