Copies on disk never outlive a purge that was refused; a bad disk starts an announcer

Cause: after a write that failed the copies on disk were to be dropped, but a full disk refuses that as well, and nobody tried again: the next purge moved the position past the one that was lost, and a restarted process had copies which that one had named. A disk that was full, hung or had the file locked at the start ended the program or held it up; a lock that was still held cost the file.

Change: until a write goes through that drops all copies, none goes through. The file is opened beside the start, which waits 2 s at most; opened later, it is emptied. Only damage removes it. The end does not wait for a disk that hangs.

Measured: TestShelfInTrouble without it: 'after a purge that was refused: position 7, 1 copies' and 'opened late: position 9, 1 copies'; with it ok, as all of internal/announce.

--- a/cmd/comethold/run.go
+++ b/cmd/comethold/run.go
@@ -148,10 +148,7 @@
 }
 
 func runAnnouncer(set *settings.Settings, path string, log *event.Log) error {
-	a, err := announce.New(set, log, wire.Sockets)
-	if err != nil {
-		return err
-	}
+	a := announce.New(set, log, wire.Sockets)
 	var g run.Group
 	udp, err := net.ListenPacket("udp4", a.InnerAddress())
 	if err != nil {
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -16,6 +16,7 @@
 	"comethold/internal/recorder"
 	"comethold/internal/settings"
 	"comethold/internal/trunk"
+	"comethold/internal/vault"
 	"comethold/internal/wire"
 
 	"github.com/labstack/echo/v4"
@@ -57,7 +58,7 @@
 }
 
 // New makes an announcer; dir holds its copies on disk, if not empty.
-func New(set *settings.Settings, log *event.Log, n wire.Net) (*Announcer, error) {
+func New(set *settings.Settings, log *event.Log, n wire.Net) *Announcer {
 	o := office.New(set, log, settings.Announcer, n)
 	room := fallbackRoom
 	if set.Limits.MemoryMb > 0 {
@@ -70,10 +71,7 @@
 	o.OnRecalls(a.desk.Recalled)
 	o.Frame.SetOver(slotsOver)
 	if set.DataDirectory != "" {
-		s, pos, err := openShelf(set.DataDirectory, shelfRoom(set.Limits.DiskMb), log)
-		if err != nil {
-			return nil, err
-		}
+		s, pos := openShelf(set.DataDirectory, shelfRoom(set.Limits.DiskMb), vault.Files{}, log)
 		a.shelf = s
 		s.start(rec.Put)
 		o.StartAt(pos)
@@ -84,7 +82,7 @@
 		})
 		log.Info(event.ShelfOpened).Int("copies", rec.Len()).Uint64("pos", pos).Msg("copies found on disk")
 	}
-	return a, nil
+	return a
 }
 
 // Renew keeps the node's share of the origins' rates until it ends.
--- a/internal/announce/scenario_test.go
+++ b/internal/announce/scenario_test.go
@@ -42,10 +42,7 @@
 	w := &tier{tags: map[string]string{}, label: map[string]string{}, work: 50 * time.Millisecond, got: map[string]int{}}
 	set := &settings.Settings{NodeName: "a1", IPAddress: "10.0.0.1", AvailabilityZone: "a", RegionName: "r", DataDirectory: dir,
 		InternalPortRange: []int{7000, 7010}, SeedNodes: []string{"10.0.0.2:80"}, Bounds: settings.Bounds{StaleSlackS: 1}}
-	a, err := New(set, event.Nop(), func(_, _ time.Duration) func(context.Context, string, string) (net.Conn, error) { return w.dial })
-	if err != nil {
-		t.Fatal(err)
-	}
+	a := New(set, event.Nop(), func(_, _ time.Duration) func(context.Context, string, string) (net.Conn, error) { return w.dial })
 	w.a = a
 	return w
 }
--- a/internal/announce/shelf.go
+++ b/internal/announce/shelf.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"comethold/internal/event"
 	"comethold/internal/feed"
 	"comethold/internal/recorder"
+	"comethold/internal/vault"
 	"comethold/internal/wire"
 
 	bolt "go.etcd.io/bbolt"
@@ -22,8 +24,11 @@
 // by its tag before it is served, and all of them are dropped unless the purges
 // since the shelf's position can still be told.
 type shelf struct {
-	db  *bolt.DB
-	log *event.Log
+	dir  string
+	disk vault.Disk
+	log  *event.Log
+
+	opened chan *bolt.DB
 
 	mu     sync.Mutex
 	wake   *sync.Cond
@@ -34,7 +39,9 @@
 
 	boot string
 
-	// Of the writer alone.
+	// Of the writer alone, once it runs.
+	db    *bolt.DB // nil until the disk has opened it
+	drop  bool     // the copies on disk may lack a purge: they go before anything is written
 	index map[string]shelfEntry
 	order []string // oldest first; may name what is gone
 	held  int
@@ -75,7 +82,10 @@
 const (
 	shelfQueue  = 8 << 20
 	shelfPause  = 300 * time.Millisecond
-	shelfPart   = 0.5 // of the disk: the file keeps room for pages not yet free
+	shelfWait   = 2 * time.Second // at a start, for a disk that does not answer
+	shelfRetry  = time.Second
+	shelfClose  = time.Second // at the end, likewise
+	shelfPart   = 0.5         // of the disk: the file keeps room for pages not yet free
 	shelfDefaul = 32 << 20
 )
 
@@ -86,50 +96,61 @@
 	return int(shelfPart * float64(diskMb<<20))
 }
 
-// openShelf opens the copies in dir. A file that cannot be read is dropped.
-func openShelf(dir string, room int, log *event.Log) (*shelf, uint64, error) {
-	path := filepath.Join(dir, "copies.db")
-	db, err := openDB(path)
-	if err != nil {
-		log.Warn(event.ShelfDropped).Err(err).Msg("the copies on disk cannot be read and are dropped")
-		if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
-			return nil, 0, err
-		}
-		if db, err = openDB(path); err != nil {
-			return nil, 0, err
-		}
-	}
-	s := &shelf{db: db, log: log, room: room, boot: bootID(), index: map[string]shelfEntry{}, gone: make(chan struct{})}
+// openShelf opens the copies in dir. A file that cannot be read is dropped. A disk in
+// trouble keeps no announcer from its start: the shelf is opened later then, and empty.
+func openShelf(dir string, room int, disk vault.Disk, log *event.Log) (*shelf, uint64) {
+	s := &shelf{dir: dir, disk: disk, log: log, room: room, boot: bootID(), index: map[string]shelfEntry{},
+		opened: make(chan *bolt.DB, 1), gone: make(chan struct{})}
 	s.wake = sync.NewCond(&s.mu)
+	go s.open()
 	pos := uint64(0)
-	_ = db.View(func(tx *bolt.Tx) error {
-		if b := tx.Bucket(nodeBucket); b != nil {
-			if v := b.Get(keyPos); len(v) == 8 {
-				pos = binary.BigEndian.Uint64(v)
+	select {
+	case s.db = <-s.opened:
+		_ = s.db.View(func(tx *bolt.Tx) error {
+			if b := tx.Bucket(nodeBucket); b != nil {
+				if v := b.Get(keyPos); len(v) == 8 {
+					pos = binary.BigEndian.Uint64(v)
+				}
 			}
-		}
-		return nil
-	})
-	return s, pos, nil
+			return nil
+		})
+	case <-time.After(shelfWait):
+		s.drop = true
+	}
+	return s, pos
 }
 
-func openDB(path string) (db *bolt.DB, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = os.ErrInvalid
+func (s *shelf) open() {
+	path := filepath.Join(s.dir, "copies.db")
+	for ; !s.isClosed(); time.Sleep(shelfRetry) {
+		db, err := s.disk.Open(path)
+		if errors.Is(err, vault.ErrDamaged) {
+			s.log.Warn(event.ShelfDropped).Err(err).Msg("the copies on disk cannot be read and are dropped")
+			if err = s.disk.Remove(path); err == nil {
+				db, err = s.disk.Open(path)
+			}
 		}
-	}()
-	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
-	if err == nil {
-		db.AllocSize = 1 << 20
+		if err == nil {
+			s.opened <- db
+			return
+		}
+		s.log.Warn(event.ShelfDropped).Err(err).Msg("the copies on disk cannot be opened; trying again")
 	}
-	return db, err
+}
+
+func (s *shelf) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
 }
 
 // start calls f with every copy that is whole, then begins to write.
 func (s *shelf) start(f func(*recorder.Recording)) {
 	defer func() { go s.run() }()
 	defer func() { _ = recover() }() // a damaged page: what came before it counts
+	if s.db == nil {
+		return
+	}
 	now, at := present(s.boot), time.Now()
 	_ = s.db.View(func(tx *bolt.Tx) error {
 		b := tx.Bucket(copyBucket)
@@ -201,6 +222,15 @@
 
 func (s *shelf) run() {
 	defer close(s.gone)
+	for s.db == nil {
+		select {
+		case s.db = <-s.opened:
+		case <-time.After(shelfRetry):
+			if s.isClosed() {
+				return
+			}
+		}
+	}
 	for {
 		s.mu.Lock()
 		for len(s.queue) == 0 && !s.closed {
@@ -212,10 +242,14 @@
 		if closed {
 			return
 		}
-		if err := s.write(jobs); err != nil {
+		err := s.write(jobs)
+		if err == nil {
+			s.drop = false
+		} else {
 			// The file may lack a purge now: it must not outlive this process.
 			s.log.Warn(event.ShelfDropped).Err(err).Msg("the copies cannot be written; the disk's copies are dropped")
 			s.clear()
+			s.drop = true
 		}
 		time.Sleep(shelfPause)
 	}
@@ -238,14 +272,14 @@
 	delete(s.index, key)
 }
 
-func (s *shelf) write(jobs []shelfJob) (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = os.ErrInvalid
-		}
-	}()
+func (s *shelf) write(jobs []shelfJob) error {
 	now, at := present(s.boot), time.Now()
-	return s.db.Update(func(tx *bolt.Tx) error {
+	return s.disk.Update(s.db, func(tx *bolt.Tx) error {
+		if s.drop && tx.Bucket(copyBucket) != nil {
+			if err := tx.DeleteBucket(copyBucket); err != nil {
+				return err
+			}
+		}
 		b, err := tx.CreateBucketIfNotExists(copyBucket)
 		if err != nil {
 			return err
@@ -293,7 +327,7 @@
 		if _, err := tx.CreateBucket(copyBucket); err != nil {
 			return err
 		}
-		s.index, s.order, s.held = map[string]shelfEntry{}, nil, 0
+		s.clear()
 	} else {
 		for k, e := range s.index {
 			for _, one := range c.All {
@@ -314,23 +348,20 @@
 	return n.Put(keyPos, binary.BigEndian.AppendUint64(nil, c.Pos))
 }
 
-// clear drops every copy on disk.
-func (s *shelf) clear() {
-	defer func() { _ = recover() }()
-	s.index, s.order, s.held = map[string]shelfEntry{}, nil, 0
-	_ = s.db.Update(func(tx *bolt.Tx) error {
-		if tx.Bucket(copyBucket) == nil {
-			return nil
-		}
-		return tx.DeleteBucket(copyBucket)
-	})
-}
+// clear forgets every copy.
+func (s *shelf) clear() { s.index, s.order, s.held = map[string]shelfEntry{}, nil, 0 }
 
+// close ends the shelf. A disk that hangs is not waited for.
 func (s *shelf) close() {
 	s.mu.Lock()
 	s.closed = true
 	s.wake.Broadcast()
 	s.mu.Unlock()
-	<-s.gone
-	_ = s.db.Close()
+	select {
+	case <-s.gone:
+		if s.db != nil {
+			_ = s.db.Close()
+		}
+	case <-time.After(shelfClose):
+	}
 }
--- a/internal/announce/shelf_test.go
+++ b/internal/announce/shelf_test.go
@@ -4,19 +4,19 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"comethold/internal/event"
 	"comethold/internal/feed"
 	"comethold/internal/recorder"
+	"comethold/internal/scenario"
+	"comethold/internal/vault"
 )
 
 func reopen(t *testing.T, dir string) (*shelf, uint64, map[string]*recorder.Recording) {
 	t.Helper()
-	s, pos, err := openShelf(dir, 1<<20, event.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
+	s, pos := openShelf(dir, 1<<20, vault.Files{}, event.Nop())
 	got := map[string]*recorder.Recording{}
 	s.start(func(r *recorder.Recording) { got[r.Target] = r })
 	return s, pos, got
@@ -75,6 +75,70 @@
 	}
 }
 
+// TestShelfInTrouble: a disk that refuses a purge and takes the next one has no copy that
+// the first one named; one that is full or hangs at the start keeps nobody from it, and
+// its copies of before are not used later.
+func TestShelfInTrouble(t *testing.T) { synctest.Test(t, shelfInTrouble) }
+
+func shelfInTrouble(t *testing.T) {
+	dir := t.TempDir()
+	d := &scenario.Disk{Under: vault.Files{}, Luck: func() float64 { return 0 }}
+	open := func() (*shelf, uint64, int) {
+		t.Helper()
+		from, n := time.Now(), 0
+		s, pos := openShelf(dir, 1<<20, d, event.Nop())
+		s.start(func(*recorder.Recording) { n++ })
+		if took := time.Since(from); took > 2*shelfWait {
+			t.Fatalf("the start took %v", took)
+		}
+		return s, pos, n
+	}
+	s, _, _ := open()
+	s.put(&recorder.Recording{Host: "h", Target: "/a", ETag: "t", Pos: 5})
+	s.settle()
+	d.Set(true, false)
+	s.recalled(&feed.Recalls{Pos: 6, All: []feed.Recall{{Pos: 6, Host: "h", Path: "/a"}}})
+	s.settle()
+	d.Set(false, false)
+	s.recalled(&feed.Recalls{Pos: 7, All: []feed.Recall{{Pos: 7, Host: "h", Path: "/b"}}})
+	s.settle()
+	s.close()
+	s, pos, n := open()
+	if pos != 7 || n != 0 {
+		t.Fatalf("after a purge that was refused: position %d, %d copies", pos, n)
+	}
+	s.put(&recorder.Recording{Host: "h", Target: "/c", ETag: "t", Pos: 7})
+	s.settle()
+	s.close()
+	db, err := d.Open(filepath.Join(dir, "copies.db")) // another process has it still
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, pos, n = open()
+	if pos != 0 || n != 0 {
+		t.Fatalf("of a disk that does not answer: position %d, %d copies", pos, n)
+	}
+	s.recalled(&feed.Recalls{Pos: 9, All: []feed.Recall{{Pos: 9, Host: "h", Path: "/c"}}})
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * shelfRetry)
+	s.settle()
+	d.Set(false, true)
+	s.recalled(&feed.Recalls{Pos: 10})
+	time.Sleep(2 * shelfPause)
+	s.close() // is not held up by what hangs
+	d.End()
+	d.Set(false, false)
+	<-s.gone
+	_ = s.db.Close()
+	s, pos, n = open()
+	s.close()
+	if pos != 9 || n != 0 {
+		t.Fatalf("opened late: position %d, %d copies", pos, n)
+	}
+}
+
 // TestDamagedCopy: a copy with a single byte changed is no copy.
 func TestDamagedCopy(t *testing.T) {
 	now := present("boot")
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -62,7 +62,7 @@
 // Files is the Disk of the machine.
 type Files struct{}
 
-// Open opens a bbolt file, or makes it.
+// Open opens a bbolt file, or makes it. What is wrong with the file itself is ErrDamaged.
 func (Files) Open(path string) (db *bolt.DB, err error) {
 	defer func() {
 		if r := recover(); r != nil {
@@ -72,8 +72,13 @@
 	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
 	if err == nil {
 		db.AllocSize = 1 << 20
+		return db, nil
 	}
-	return db, err
+	if info, serr := os.Stat(path); errors.Is(err, berrors.ErrInvalid) || errors.Is(err, berrors.ErrVersionMismatch) ||
+		errors.Is(err, berrors.ErrChecksum) || serr == nil && info.Size() > 0 && info.Size() < int64(2*os.Getpagesize()) {
+		err = fmt.Errorf("%w: %v", ErrDamaged, err)
+	}
+	return nil, err
 }
 
 // Update writes and syncs.
@@ -186,12 +191,7 @@
 			return nil, err
 		}
 	}
-	db, err := disk.Open(path)
-	if info, serr := os.Stat(path); err != nil && (errors.Is(err, berrors.ErrInvalid) || errors.Is(err, berrors.ErrVersionMismatch) ||
-		errors.Is(err, berrors.ErrChecksum) || serr == nil && info.Size() > 0 && info.Size() < int64(2*os.Getpagesize())) {
-		err = fmt.Errorf("%w: %v", ErrDamaged, err)
-	}
-	return db, err
+	return disk.Open(path)
 }
 
 // Node returns a value that the node itself keeps, or nil.
