Saved estimates outlast torn lines and losses of power; tests of founders

Cause: the folder was never synced, so the file, or the one put aside, could be lost with a night's lines; after a line that was torn by a full disk all later lines could not be read.

Change: the folder is synced; a torn line is ended before the next, and skipped by readers.

Measured: TestSavedEstimates fails without the sync and without the ended line; TestFounder fails without the first cell beside the name, and where damage leads to the founders' name.

--- a/internal/registrar/estimates.go
+++ b/internal/registrar/estimates.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -118,12 +119,10 @@
 		if err != nil {
 			continue
 		}
-		for dec := json.NewDecoder(bytes.NewReader(raw)); ; {
-			var line json.RawMessage
-			if dec.Decode(&line) != nil {
-				break // a line that was torn is the last
+		for line := range bytes.Lines(raw) {
+			if json.Valid(line) { // one may be torn
+				out = append(out, json.RawMessage(line))
 			}
-			out = append(out, line)
 		}
 	}
 	return c.JSON(http.StatusOK, out)
@@ -153,29 +152,37 @@
 	}
 }
 
-// saveEstimates adds a line to the file, which is put aside when it is large.
+// saveEstimates adds a line to the file, which is put aside when it is large. A line that
+// was torn stays, and the next begins anew. Names are synced before what they hold counts.
 func (r *Registrar) saveEstimates(v EstimatesView) error {
-	path := filepath.Join(r.set.DataDirectory, exportName)
-	if info, err := os.Stat(path); err == nil && info.Size() > exportMost {
-		if err := os.Rename(path, path+".1"); err != nil {
+	dir := r.set.DataDirectory
+	path := filepath.Join(dir, exportName)
+	info, err := os.Stat(path)
+	if err == nil && info.Size() > exportMost {
+		if err := r.disk.Rename(path, path+".1"); err != nil {
 			return err
 		}
+		info = nil
 	}
 	raw, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
-	if _, err := f.Write(append(raw, '\n')); err != nil {
-		_ = f.Close()
-		return err
+	raw = append(raw, '\n')
+	last := []byte{'\n'}
+	if info != nil && info.Size() > 0 {
+		_, _ = f.ReadAt(last, info.Size()-1)
+	}
+	if last[0] != '\n' {
+		raw = append([]byte{'\n'}, raw...)
 	}
-	if err := f.Sync(); err != nil {
-		_ = f.Close()
+	_, err = f.Write(raw)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return err
 	}
-	return f.Close()
+	return r.disk.SyncDir(dir)
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,9 +1,13 @@
 package registrar
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,8 +17,12 @@
 	"comethold/internal/cell"
 	"comethold/internal/feed"
 	"comethold/internal/ration"
+	"comethold/internal/scenario"
 	"comethold/internal/settings"
+	"comethold/internal/vault"
 	"comethold/internal/wire"
+
+	"github.com/labstack/echo/v4"
 )
 
 // TestNextMove: seats as "ID@address/zone", what is live, what is silent.
@@ -286,3 +294,73 @@
 		t.Error("nothing is under way, and the snapshot is not sent")
 	}
 }
+
+// TestSavedEstimates: a line that was torn costs no other line, and what was saved before
+// a loss of power is there after it, also right after the file was put aside.
+func TestSavedEstimates(t *testing.T) {
+	dir := t.TempDir()
+	d := &scenario.Disk{Under: vault.Files{}, Luck: func() float64 { return 0 }}
+	r := &Registrar{set: &settings.Settings{DataDirectory: dir}, disk: d}
+	saved := func() (nodes []int) {
+		w := httptest.NewRecorder()
+		if err := r.savedEstimates(echo.New().NewContext(httptest.NewRequest(http.MethodGet, "/", nil), w)); err != nil {
+			t.Fatal(err)
+		}
+		var all []EstimatesView
+		if err := json.Unmarshal(w.Body.Bytes(), &all); err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range all {
+			nodes = append(nodes, v.Nodes)
+		}
+		return nodes
+	}
+	path := filepath.Join(dir, exportName)
+	torn := `{"nodes":7,"una`
+	for i, before := range []string{"", torn, strings.Repeat(" ", exportMost) + "\n", ""} {
+		if f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600); err != nil {
+			t.Fatal(err)
+		} else if _, err = f.WriteString(before); err != nil || f.Close() != nil {
+			t.Fatal(err)
+		}
+		if err := r.saveEstimates(EstimatesView{Nodes: i + 1}); err != nil {
+			t.Fatal(err)
+		}
+		d.Lose()
+	}
+	if got := saved(); fmt.Sprint(got) != "[1 2 3 4]" {
+		t.Errorf("saved are %v", got)
+	}
+}
+
+// TestFounder: the name of a founder and its part of the first cell are on the disk
+// together, and a name that may have voted before a file was put aside is not used again.
+func TestFounder(t *testing.T) {
+	seats := []cell.Seat{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "c", Addr: "c"}}
+	life := func(dir string, first bool) (cell.MemberID, bool) {
+		v, err := vault.Open(dir, vault.Files{}, func(error) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer v.Close()
+		id, _, err := Identity(v, "a", first, vault.SetAside(dir), seats)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, found, err := v.Load(ExchangeCell)
+		return id, err == nil && found && s.Snap != nil && (cell.Membership{Seats: s.Snap.Memberships[0].Seats}).Has(id)
+	}
+	dir := t.TempDir()
+	for _, first := range []bool{true, false} {
+		if id, voter := life(dir, first); id != "a" || !voter {
+			t.Errorf("first start %v: %s, voter %v", first, id, voter)
+		}
+	}
+	dir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "vault.db"), []byte("no vault"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if id, voter := life(dir, true); id == "a" || voter {
+		t.Errorf("after damage: %s, voter %v", id, voter)
+	}
+}
