A queue to a peer is bounded by bytes; drawn troubles of disks, links and power

Cause: 256 messages were the bound, and a tick of 300 index cells says 300; the newest were dropped.

--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -86,7 +86,7 @@
 
 // NewHost opens the node's cells from its vault.
 func NewHost(self Hello, port int, seeds []string, v *vault.Vault, n wire.Net, log *event.Log) *Host {
-	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(n), bulk: wire.NewClient(wire.LowWater(n, bulkWater)), start: time.Now(),
+	return &Host{self: self, port: port, vault: v, log: log, call: wire.NewClient(n), bulk: wire.NewClientWith(wire.LowWater(n, bulkWater), 2*time.Second, bulkSilent, 1), start: time.Now(),
 		work: make(chan func(), 256), quit: make(chan struct{}), cells: map[string]*cell.Member{},
 		roles: map[string]cell.Role{}, ids: map[cell.MemberID]string{}, waiters: map[string]chan cell.Outcome{},
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
@@ -301,8 +301,6 @@
 	}
 }
 
-const maxPeerQueue = 256
-
 // Get reads a key of the applied state.
 func (h *Host) Get(name, key string) (v cell.Value, ok bool) {
 	h.ask(func() {
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -37,8 +37,10 @@
 	sendMost     = time.Minute
 	bulkFrom     = 32 << 10 // a message of this size goes by itself
 	batchBytes   = 64 << 10
-	maxBulkQueue = 16
+	queueBytes   = 1 << 20 // that wait for a peer
+	maxBulkQueue = 64
 	bulkWater    = 32 << 10 // bytes of it that wait in this machine
+	bulkSilent   = 6 * time.Second
 )
 
 // sendLimit is how long a body of so many bytes may be under way.
@@ -50,6 +52,7 @@
 	hello Hello
 	heard time.Duration
 	queue []cell.Message
+	bytes int // of the queue
 	wake  chan struct{}
 	bulk  lane
 }
@@ -231,10 +234,12 @@
 		}
 		if small != nil {
 			p.queue = append(p.queue, *small)
+			p.bytes += small.Size()
 		}
 	}
-	if over := len(p.queue) - maxPeerQueue; over > 0 {
-		p.queue = p.queue[over:] // what is newer counts more
+	for p.bytes > queueBytes {
+		p.bytes -= p.queue[0].Size() // what is newer counts more
+		p.queue = p.queue[1:]
 	}
 	h.peersMu.Unlock()
 	p.wakeOne()
@@ -261,7 +266,7 @@
 			n++
 		}
 		msgs := p.queue[:n:n]
-		p.queue = p.queue[n:]
+		p.queue, p.bytes = p.queue[n:], p.bytes-bytes
 		if len(p.queue) > 0 {
 			p.wakeOne()
 		}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -364,3 +364,23 @@
 		t.Errorf("after damage: %s, voter %v", id, voter)
 	}
 }
+
+// TestQueueBounds: what one tick says in many cells finds room, and what is oldest makes
+// room for what is newest.
+func TestQueueBounds(t *testing.T) {
+	p := &peer{wake: make(chan struct{}, 1), bulk: lane{wake: make(chan struct{}, 1)}}
+	h := &Host{peers: map[string]*peer{"b": p}}
+	const cells = 1000
+	h.push("b", make([]cell.Message, cells))
+	if len(p.queue) != cells {
+		t.Errorf("%d of %d messages wait", len(p.queue), cells)
+	}
+	half := cell.Message{Entries: []cell.Entry{{Txns: []cell.Txn{{ID: strings.Repeat("x", bulkFrom/2)}}}}}
+	for i := range 2 * queueBytes / half.Size() {
+		half.Seq = uint64(i)
+		h.push("b", []cell.Message{half})
+	}
+	if n := len(p.queue); p.bytes > queueBytes || n < queueBytes/half.Size() || p.queue[n-1].Seq != half.Seq {
+		t.Errorf("%d messages, %d bytes, the last %d of %d", n, p.bytes, p.queue[n-1].Seq, half.Seq)
+	}
+}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -548,10 +548,10 @@
 		wg.Wait()
 	case "routes": // routes N: so many more in the configurations from now on
 		f.routes = int(uintOf(0))
-	case "changes": // changes FROM N AT [gap=]: so many, one on the other; each is acknowledged
+	case "changes": // changes FROM N AT [gap= within=]: so many, one on the other; each is acknowledged
 		for i := range uintOf(1) {
 			v := uintOf(0) + i
-			if st := f.order(f.pick(c.Word(2))[0], v, f.newest, "", 8*time.Second); st != http.StatusOK {
+			if st := f.order(f.pick(c.Word(2))[0], v, f.newest, "", time.Duration(c.Number("within", 8000))*time.Millisecond); st != http.StatusOK {
 				return fmt.Errorf("version %d: %d", v, st)
 			}
 			time.Sleep(time.Duration(c.Number("gap", 50)) * time.Millisecond)
@@ -885,19 +885,89 @@
 func TestFleet(t *testing.T) {
 	scenario.Play(t, "testdata/fleet", func(t *testing.T, run func(*testing.T)) { synctest.Test(t, run) }, func(t *testing.T) scenario.World {
 		f := newFleet(t)
-		t.Cleanup(func() {
-			var wg sync.WaitGroup
-			for _, m := range f.machines {
-				if m.stop != nil {
-					wg.Go(m.stop)
-				}
-			}
-			wg.Wait()
-			f.mesh.down("", "")
-			f.mesh.down("10.200.0.1", "")
-			f.mesh.down("10.9.0.1", "")
-			time.Sleep(time.Minute)
-		})
+		t.Cleanup(f.close)
 		return f
 	})
 }
+
+// TestDisks draws troubles of disks, links and power, one machine at a time or all power at
+// once, while changes go on; what was acknowledged is there in the end, and everybody has
+// it. COMETHOLD_SEEDS says how many draws.
+func TestDisks(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
+	if err != nil {
+		seeds = 1
+	}
+	for seed := range seeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				t.Cleanup(f.close)
+				rng := rand.New(rand.NewSource(int64(seed)))
+				do := func(line string, args ...any) {
+					c, _ := scenario.Parse(fmt.Sprintf(line, args...))
+					if err := f.Do(c); err != nil {
+						t.Errorf("%s: %v", c.Line, err)
+					}
+				}
+				do("core a b c")
+				do("list l1")
+				do("routes 5")
+				do("begin")
+				version := 1
+				for range 5 {
+					bad, n := rng.Intn(3), 1+rng.Intn(90)
+					well, name := 1+(bad+1)%3, fmt.Sprintf("c%d", bad+1)
+					var wg sync.WaitGroup
+					wg.Go(func() { do("changes %d %d c%d gap=%d within=30000", version, n, well, 5+rng.Intn(20)) })
+					for range 1 + rng.Intn(3) {
+						do("run %d", rng.Intn(900))
+						switch rng.Intn(7) {
+						case 0:
+							do("kill %s", name)
+						case 1:
+							do("power %s", name)
+						case 2:
+							do("disk %s full", name)
+						case 3:
+							do("disk %s hangs", name)
+						case 4:
+							do("slow %s %d", name, 50+rng.Intn(1000))
+						case 5:
+							do("power all")
+							do("start all")
+						case 6:
+							do("start %s", name)
+						}
+					}
+					wg.Wait()
+					version += n
+					do("disk all ok")
+					do("start all")
+					do("run %d", rng.Intn(2000))
+					do("slow all 0")
+				}
+				do("want-read 9000")
+				do("want-applied %d all 9000", version-1)
+			})
+		})
+	}
+}
+
+// close ends all of a fleet.
+func (f *fleet) close() {
+	var wg sync.WaitGroup
+	for _, m := range f.machines {
+		if m.data != nil {
+			m.data.Set(false, false)
+		}
+		if m.stop != nil {
+			wg.Go(m.stop)
+		}
+	}
+	wg.Wait()
+	f.mesh.down("", "")
+	f.mesh.down("10.200.0.1", "")
+	f.mesh.down("10.9.0.1", "")
+	time.Sleep(time.Minute)
+}
