A file of cells that was cut short or lacks a page is damage, not the process's end

Cause: bbolt reads by a memory map: beyond the end of the file, or at a page that is not there, it ends the process, partly in a goroutine of its own, at every start anew.

Change: a file is read once through, where faults can be caught, before it is opened to write.

Measured: TestCutShort without it: 'unexpected fault address'; ok with it, each page of a small file zeroed or cut in turn. Fleet scenario torn-files ok, with 'half' a panic before.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -546,6 +546,30 @@
 			})
 		}
 		wg.Wait()
+	case "tear": // tear NAMES garbage|half|short|nothing|gone: what is left of the cells' file on machines that are down
+		for _, m := range f.pick(c.Word(0)) {
+			path := filepath.Join(f.dir, m.name, "vault.db")
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			switch c.Word(1) {
+			case "garbage":
+				clear(raw)
+			case "half":
+				raw = raw[:len(raw)/2]
+			case "short":
+				raw = raw[:5000]
+			case "nothing":
+				raw = nil
+			}
+			if err = os.WriteFile(path, raw, 0o600); c.Word(1) == "gone" {
+				err = os.Remove(path)
+			}
+			if err != nil {
+				return err
+			}
+		}
 	case "routes": // routes N: so many more in the configurations from now on
 		f.routes = int(uintOf(0))
 	case "changes": // changes FROM N AT [gap= within=]: so many, one on the other; each is acknowledged
--- a/internal/vault/names_test.go
+++ b/internal/vault/names_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -106,6 +107,44 @@
 	}
 }
 
+// TestCutShort: a file that ends before its pages do, or lacks the content of one, is
+// damage and not the process's end.
+func TestCutShort(t *testing.T) {
+	dir := t.TempDir()
+	v, _ := open2(t, dir)
+	v.synced("c", cell.Writes{Snap: &cell.Snapshot{State: map[string]cell.Value{"k": cell.Bytes(make([]byte, 40000))}}})
+	if err := v.Found("identity", []byte("a"), "c", cell.Writes{}); err != nil || v.Close() != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	damaged, page := 0, os.Getpagesize()
+	for at := 2 * page; at < len(whole); at += page {
+		for _, raw := range [][]byte{whole[:at:at], slices.Concat(whole[:at], make([]byte, page), whole[at+page:])} {
+			dir := t.TempDir()
+			if err := os.WriteFile(filepath.Join(dir, fileName), raw, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var told error
+			v, err := Open(dir, Files{}, func(err error) { told = err })
+			if err != nil || (told == nil) != (v.Node("identity") != nil) || told != nil && !errors.Is(told, ErrDamaged) {
+				t.Fatalf("%d bytes, page %d: opened with %v, told %v", len(raw), at/page, err, told)
+			}
+			if err := v.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if told != nil {
+				damaged++
+			}
+		}
+	}
+	if damaged == 0 {
+		t.Error("no damage was seen")
+	}
+}
+
 // TestDiskInTrouble: a disk that is full or does not sync names keeps a vault from being
 // opened, and puts nothing aside; a write that hangs is not waited for at the end.
 func TestDiskInTrouble(t *testing.T) {
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -63,13 +64,13 @@
 type Files struct{}
 
 // Open opens a bbolt file, or makes it. What is wrong with the file itself is ErrDamaged.
-func (Files) Open(path string) (db *bolt.DB, err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("%w: %v", ErrDamaged, r)
-		}
-	}()
-	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
+func (Files) Open(path string) (*bolt.DB, error) {
+	opts := bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType}
+	var db *bolt.DB
+	err := sound(path, opts)
+	if err == nil {
+		db, err = bolt.Open(path, 0o600, &opts)
+	}
 	if err == nil {
 		db.AllocSize = 1 << 20
 		return db, nil
@@ -81,6 +82,45 @@
 	return nil, err
 }
 
+// sound reads the file once through: bbolt, opening it to write, meets what is torn or cut
+// short where nobody can catch it.
+func sound(path string, opts bolt.Options) (err error) {
+	info, err := os.Stat(path)
+	if os.IsNotExist(err) || err == nil && info.Size() == 0 {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	opts.ReadOnly = true
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", ErrDamaged, r)
+		}
+	}()
+	db, err := bolt.Open(path, 0o600, &opts)
+	if err != nil {
+		return err
+	}
+	defer db.Close()
+	return db.View(func(tx *bolt.Tx) error {
+		if tx.Size() > info.Size() {
+			return fmt.Errorf("%w: cut short", ErrDamaged)
+		}
+		return tx.ForEach(func(_ []byte, b *bolt.Bucket) error { return walk(b) })
+	})
+}
+
+func walk(b *bolt.Bucket) error {
+	return b.ForEach(func(k, v []byte) error {
+		if v == nil {
+			return walk(b.Bucket(k))
+		}
+		return nil
+	})
+}
+
 // Update writes and syncs.
 func (Files) Update(db *bolt.DB, f func(*bolt.Tx) error) (err error) {
 	defer func() {
