A cell that is new is opened without asking a disk that may be hanging

Cause: bbolt writes its roots under a lock that readers take; a write that hangs there would have held up the loop of all cells at the next index that was founded.

Measured: TestDiskInTrouble without it: 'a new cell: found false, vault: the file cannot be read' (no file at all is asked in the test); ok with it, as internal/registrar and the scenarios torn-files, disks-in-trouble, power-and-disks, start, TestDisks.

--- a/internal/vault/names_test.go
+++ b/internal/vault/names_test.go
@@ -175,6 +175,10 @@
 		busy = v.busy
 		v.mu.Unlock()
 	}
+	// bbolt writes under a lock that its readers need: a new cell is opened without them.
+	if _, found, err := new(Vault).Load("new"); found || err != nil {
+		t.Errorf("a new cell: found %v, %v", found, err)
+	}
 	if err := v.Close(); !errors.Is(err, ErrSilent) {
 		t.Fatalf("closed: %v", err)
 	}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -163,6 +163,7 @@
 
 	mu     sync.Mutex
 	wake   *sync.Cond
+	cells  map[string]bool // that the file holds, or will
 	jobs   []job
 	busy   bool
 	closed bool
@@ -196,7 +197,16 @@
 		_ = db.Close()
 		return nil, err
 	}
-	v := &Vault{db: db, disk: disk, onFail: onFail, gone: make(chan struct{})}
+	v := &Vault{db: db, disk: disk, onFail: onFail, gone: make(chan struct{}), cells: map[string]bool{}}
+	if err := db.View(func(tx *bolt.Tx) error {
+		return tx.ForEach(func(name []byte, _ *bolt.Bucket) error {
+			v.cells[string(name)] = true
+			return nil
+		})
+	}); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
 	v.wake = sync.NewCond(&v.mu)
 	go v.run()
 	return v, nil
@@ -253,6 +263,9 @@
 
 // Found stores a value of the node and the beginning of a cell: both or neither.
 func (v *Vault) Found(key string, val []byte, name string, w cell.Writes) error {
+	v.mu.Lock()
+	v.cells[string(bucketOf(name))] = true
+	v.mu.Unlock()
 	return v.disk.Update(v.db, func(tx *bolt.Tx) error {
 		if err := putNode(tx, key, val); err != nil {
 			return err
@@ -288,8 +301,15 @@
 
 func bucketOf(name string) []byte { return []byte("cell/" + name) }
 
-// Load reads what the disk holds of a cell.
+// Load reads what the disk holds of a cell. For one that is new the disk, which may be
+// hanging, is not asked.
 func (v *Vault) Load(name string) (s cell.Saved, found bool, err error) {
+	v.mu.Lock()
+	known := v.cells[string(bucketOf(name))]
+	v.mu.Unlock()
+	if !known {
+		return s, false, nil
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("%w: %v", ErrDamaged, r)
@@ -345,6 +365,7 @@
 	if w.Empty() && len(v.jobs) == 0 && !v.busy {
 		return true
 	}
+	v.cells[string(bucketOf(name))] = true
 	v.jobs = append(v.jobs, job{cell: name, w: w, done: done})
 	v.wake.Signal()
 	return false
