Disks of the fleet runner have luck of their own

Cause: they drew from the mesh's without its lock; the race detector showed it.

Measured: go test -race of TestDisks, and of torn-files, disks-in-trouble and taught-slowly: no race outside the draws, none in TestDisks now.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -39,6 +39,7 @@
 	mesh     *mesh
 	machines map[string]*machine
 	losses   int
+	seed     int64
 	routes   int // more of them in the configurations from now on
 	seeds    []string
 	started  bool
@@ -255,6 +256,14 @@
 	return set
 }
 
+// disk is a machine's disk, with luck of its own.
+func (f *fleet) disk(m *machine) *scenario.Disk {
+	if m.data == nil {
+		m.data = &scenario.Disk{Under: vault.Files{}, Luck: rand.New(rand.NewSource(f.seed*100 + int64(m.name[1]))).Float64}
+	}
+	return m.data
+}
+
 // start runs the programs of a machine.
 func (f *fleet) start(m *machine) {
 	set := f.settings(m)
@@ -271,9 +280,7 @@
 		if err := os.MkdirAll(set.DataDirectory, 0o755); err != nil {
 			f.t.Fatal(err)
 		}
-		if m.data == nil {
-			m.data = &scenario.Disk{Under: vault.Files{}, Luck: f.mesh.luck}
-		}
+		f.disk(m)
 		reg := registrar.New(set, event.Nop(), n, m.data)
 		m.reg = reg
 		go func() { _ = reg.Run() }()
@@ -527,10 +534,7 @@
 		f.mesh.mu.Unlock()
 	case "disk": // disk NAMES ok|full|hangs
 		for _, m := range f.pick(c.Word(0)) {
-			if m.data == nil {
-				m.data = &scenario.Disk{Under: vault.Files{}, Luck: f.mesh.luck}
-			}
-			m.data.Set(c.Word(1) == "full", c.Word(1) == "hangs")
+			f.disk(m).Set(c.Word(1) == "full", c.Word(1) == "hangs")
 		}
 	case "power": // power NAMES: they lose power, and names that were not synced may be lost
 		var wg sync.WaitGroup
@@ -926,6 +930,7 @@
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t)
+				f.seed = int64(seed)
 				t.Cleanup(f.close)
 				rng := rand.New(rand.NewSource(int64(seed)))
 				do := func(line string, args ...any) {
@@ -942,8 +947,9 @@
 				for range 5 {
 					bad, n := rng.Intn(3), 1+rng.Intn(90)
 					well, name := 1+(bad+1)%3, fmt.Sprintf("c%d", bad+1)
+					gap := 5 + rng.Intn(20)
 					var wg sync.WaitGroup
-					wg.Go(func() { do("changes %d %d c%d gap=%d within=30000", version, n, well, 5+rng.Intn(20)) })
+					wg.Go(func() { do("changes %d %d c%d gap=%d within=30000", version, n, well, gap) })
 					for range 1 + rng.Intn(3) {
 						do("run %d", rng.Intn(900))
 						switch rng.Intn(7) {
