--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -38,6 +38,7 @@
 	bulkFrom     = 32 << 10 // a message of this size goes by itself
 	batchBytes   = 64 << 10
 	queueBytes   = 1 << 20 // that wait for a peer
+	timesUpTo    = 4 << 10 // bytes of a batch that tells times
 	maxBulkQueue = 64
 	bulkWater    = 32 << 10 // bytes of it that wait in this machine
 	bulkSilent   = 6 * time.Second
@@ -293,9 +294,7 @@
 }
 
 func (h *Host) sendBatch(by *wire.Client, rate float64, addr string, msgs []cell.Message) {
-	b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
-	b.Wall, b.Agreed = h.times()
-	body, err := wire.Encode(b)
+	body, err := wire.Encode(h.batch(msgs))
 	if err != nil {
 		return
 	}
@@ -304,6 +303,20 @@
 	_ = by.Post(ctx, net.JoinHostPort(addr, strconv.Itoa(h.port)), "/cells", body, nil)
 }
 
+// batch makes what goes to a peer. What may be long under way tells no times: by its
+// arrival they are wrong.
+func (h *Host) batch(msgs []cell.Message) *Batch {
+	b := &Batch{Hello: h.self, Messages: msgs, List: h.listed()}
+	bytes := 0
+	for i := range msgs {
+		bytes += msgs[i].Size()
+	}
+	if bytes <= timesUpTo {
+		b.Wall, b.Agreed = h.times()
+	}
+	return b
+}
+
 // Receive takes in what another registrar sent.
 func (h *Host) Receive(b *Batch) {
 	h.do(func() {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -384,3 +384,16 @@
 		t.Errorf("%d messages, %d bytes, the last %d of %d", n, p.bytes, p.queue[n-1].Seq, half.Seq)
 	}
 }
+
+// TestLateTimes: what may be long under way tells no time of day, which would be taken for
+// that of its arrival.
+func TestLateTimes(t *testing.T) {
+	h := &Host{listed: func() feed.Stamp { return feed.Stamp{} }, times: func() (int64, int64) { return 7, 8 }}
+	if b := h.batch([]cell.Message{{}}); b.Wall != 7 || b.Agreed != 8 {
+		t.Errorf("a greeting says %d and %d", b.Wall, b.Agreed)
+	}
+	large := cell.Message{Snap: &cell.Snapshot{State: map[string]cell.Value{"k": cell.Bytes(make([]byte, bulkFrom))}}}
+	if b := h.batch([]cell.Message{large}); b.Wall != 0 || b.Agreed != 0 {
+		t.Errorf("a snapshot says %d and %d", b.Wall, b.Agreed)
+	}
+}
