--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -59,7 +59,10 @@
 	life     uint64 // where the stamps of this life begin
 	deadline time.Duration
 	askedAt  time.Duration
+	askedOf  MemberID
+	askWait  time.Duration
 	asked    bool
+	taught   map[MemberID]teaching
 
 	seq       uint64
 	beatAt    time.Duration
@@ -87,7 +90,7 @@
 func New(p Params, s Saved, now time.Duration) *Member {
 	m := &Member{p: p, log: map[uint64]*Entry{}, promised: s.Promised, maxRound: max(s.Promised.Round, s.Round),
 		waiting: map[string]bool{}, acked: map[MemberID]uint64{}, ackedAt: map[MemberID]time.Duration{},
-		proven: map[MemberID]time.Duration{}, echoes: map[MemberID]uint64{},
+		proven: map[MemberID]time.Duration{}, echoes: map[MemberID]uint64{}, taught: map[MemberID]teaching{},
 		learnt: map[MemberID]uint64{}, reads: map[uint64][]uint64{}, life: uint64(p.Jitter() * (1 << 62))}
 	m.st.kv = map[string]Value{}
 	if s.Snap != nil {
@@ -380,7 +383,7 @@
 			m.learnt[msg.From] = max(m.learnt[msg.From], msg.Chosen)
 		}
 	case Ask:
-		m.onAsk(msg)
+		m.onAsk(now, msg)
 	case Teach:
 		m.onTeach(now, msg)
 	}
@@ -425,7 +428,9 @@
 	r := Message{Kind: Promise, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied, Slot: msg.Slot, Echo: m.stamp(now)}
 	from := msg.Slot
 	if from < m.base {
-		r.Snap = m.st.snapshot(m.applied)
+		if m.maySnap(now, msg.From, from) {
+			r.Snap = m.st.snapshot(m.applied)
+		}
 		from = m.applied
 	}
 	r.Entries = m.segment(from, ^uint64(0))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,9 +1,13 @@
 package registrar
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,8 +17,12 @@
 	"comethold/internal/cell"
 	"comethold/internal/feed"
 	"comethold/internal/ration"
+	"comethold/internal/scenario"
 	"comethold/internal/settings"
+	"comethold/internal/vault"
 	"comethold/internal/wire"
+
+	"github.com/labstack/echo/v4"
 )
 
 // TestNextMove: seats as "ID@address/zone", what is live, what is silent.
@@ -260,3 +268,142 @@
 		t.Errorf("%d sums are known", len(b.held.by))
 	}
 }
+
+// TestLane: of what is large, nothing goes a second time while it is under way, and a
+// promise goes without the snapshot that is.
+func TestLane(t *testing.T) {
+	l := lane{wake: make(chan struct{}, 1)}
+	snap := func() *cell.Snapshot {
+		return &cell.Snapshot{State: map[string]cell.Value{"k": cell.Bytes(make([]byte, bulkFrom))}}
+	}
+	large := func(slot uint64) []cell.Entry {
+		return []cell.Entry{{Slot: slot, Txns: []cell.Txn{{ID: strings.Repeat("x", bulkFrom)}}}}
+	}
+	l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+	if m := l.take(); m == nil || m.Snap == nil {
+		t.Fatalf("the snapshot is not sent: %v", m)
+	}
+	for range 3 {
+		l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+		l.put(cell.Message{Cell: "a", Kind: cell.Accept, Entries: large(7)})
+	}
+	if rest := l.put(cell.Message{Cell: "a", Kind: cell.Promise, Ballot: cell.Ballot{Round: 2}, Snap: snap()}); rest == nil || rest.Snap != nil || rest.Ballot.Round != 2 {
+		t.Errorf("of the promise goes %v", rest)
+	}
+	l.put(cell.Message{Cell: "b", Kind: cell.Teach, Snap: snap()})
+	l.put(cell.Message{Cell: "a", Kind: cell.Accept, Entries: large(8)})
+	var got []string
+	for m := l.take(); m != nil; m = l.take() {
+		got = append(got, fmt.Sprint(m.Cell, m.Kind, len(m.Entries)))
+	}
+	if want := fmt.Sprint([]string{fmt.Sprint("a", cell.Accept, 1), fmt.Sprint("b", cell.Teach, 0), fmt.Sprint("a", cell.Accept, 1)}); fmt.Sprint(got) != want {
+		t.Errorf("sent are %v, not %v", got, want)
+	}
+	l.put(cell.Message{Cell: "a", Kind: cell.Teach, Snap: snap()})
+	if l.take() == nil {
+		t.Error("nothing is under way, and the snapshot is not sent")
+	}
+}
+
+// TestSavedEstimates: a line that was torn costs no other line, and what was saved before
+// a loss of power is there after it, also right after the file was put aside.
+func TestSavedEstimates(t *testing.T) {
+	dir := t.TempDir()
+	d := &scenario.Disk{Under: vault.Files{}, Luck: func() float64 { return 0 }}
+	r := &Registrar{set: &settings.Settings{DataDirectory: dir}, disk: d}
+	saved := func() (nodes []int) {
+		w := httptest.NewRecorder()
+		if err := r.savedEstimates(echo.New().NewContext(httptest.NewRequest(http.MethodGet, "/", nil), w)); err != nil {
+			t.Fatal(err)
+		}
+		var all []EstimatesView
+		if err := json.Unmarshal(w.Body.Bytes(), &all); err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range all {
+			nodes = append(nodes, v.Nodes)
+		}
+		return nodes
+	}
+	path := filepath.Join(dir, exportName)
+	torn := `{"nodes":7,"una`
+	for i, before := range []string{"", torn, strings.Repeat(" ", exportMost) + "\n", ""} {
+		if f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600); err != nil {
+			t.Fatal(err)
+		} else if _, err = f.WriteString(before); err != nil || f.Close() != nil {
+			t.Fatal(err)
+		}
+		if err := r.saveEstimates(EstimatesView{Nodes: i + 1}); err != nil {
+			t.Fatal(err)
+		}
+		d.Lose()
+	}
+	if got := saved(); fmt.Sprint(got) != "[1 2 3 4]" {
+		t.Errorf("saved are %v", got)
+	}
+}
+
+// TestFounder: the name of a founder and its part of the first cell are on the disk
+// together, and a name that may have voted before a file was put aside is not used again.
+func TestFounder(t *testing.T) {
+	seats := []cell.Seat{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "c", Addr: "c"}}
+	life := func(dir string, first bool) (cell.MemberID, bool) {
+		v, err := vault.Open(dir, vault.Files{}, func(error) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer v.Close()
+		id, _, err := Identity(v, "a", first, vault.SetAside(dir), seats)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, found, err := v.Load(ExchangeCell)
+		return id, err == nil && found && s.Snap != nil && (cell.Membership{Seats: s.Snap.Memberships[0].Seats}).Has(id)
+	}
+	dir := t.TempDir()
+	for _, first := range []bool{true, false} {
+		if id, voter := life(dir, first); id != "a" || !voter {
+			t.Errorf("first start %v: %s, voter %v", first, id, voter)
+		}
+	}
+	dir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "vault.db"), []byte("no vault"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if id, voter := life(dir, true); id == "a" || voter {
+		t.Errorf("after damage: %s, voter %v", id, voter)
+	}
+}
+
+// TestQueueBounds: what one tick says in many cells finds room, and what is oldest makes
+// room for what is newest.
+func TestQueueBounds(t *testing.T) {
+	p := &peer{wake: make(chan struct{}, 1), bulk: lane{wake: make(chan struct{}, 1)}}
+	h := &Host{peers: map[string]*peer{"b": p}}
+	const cells = 1000
+	h.push("b", make([]cell.Message, cells))
+	if len(p.queue) != cells {
+		t.Errorf("%d of %d messages wait", len(p.queue), cells)
+	}
+	half := cell.Message{Entries: []cell.Entry{{Txns: []cell.Txn{{ID: strings.Repeat("x", bulkFrom/2)}}}}}
+	for i := range 2 * queueBytes / half.Size() {
+		half.Seq = uint64(i)
+		h.push("b", []cell.Message{half})
+	}
+	if n := len(p.queue); p.bytes > queueBytes || n < queueBytes/half.Size() || p.queue[n-1].Seq != half.Seq {
+		t.Errorf("%d messages, %d bytes, the last %d of %d", n, p.bytes, p.queue[n-1].Seq, half.Seq)
+	}
+}
+
+// TestLateTimes: what may be long under way tells no time of day, which would be taken for
+// that of its arrival.
+func TestLateTimes(t *testing.T) {
+	h := &Host{listed: func() feed.Stamp { return feed.Stamp{} }, times: func() (int64, int64) { return 7, 8 }}
+	if b := h.batch([]cell.Message{{}}); b.Wall != 7 || b.Agreed != 8 {
+		t.Errorf("a greeting says %d and %d", b.Wall, b.Agreed)
+	}
+	large := cell.Message{Snap: &cell.Snapshot{State: map[string]cell.Value{"k": cell.Bytes(make([]byte, bulkFrom))}}}
+	if b := h.batch([]cell.Message{large}); b.Wall != 0 || b.Agreed != 0 {
+		t.Errorf("a snapshot says %d and %d", b.Wall, b.Agreed)
+	}
+}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -27,6 +27,8 @@
 	"comethold/internal/scenario"
 	"comethold/internal/settings"
 	"comethold/internal/switchboard"
+	"comethold/internal/vault"
+	"comethold/internal/wire"
 )
 
 // fleet is a whole system of registrars and switches on simulated time: every
@@ -37,6 +39,8 @@
 	mesh     *mesh
 	machines map[string]*machine
 	losses   int
+	seed     int64
+	routes   int // more of them in the configurations from now on
 	seeds    []string
 	started  bool
 
@@ -116,6 +120,7 @@
 type machine struct {
 	name, zone, addr string
 	disk             bool
+	data             *scenario.Disk
 	born             bool // it has run before
 	reg              *registrar.Registrar
 	sw               *switchboard.Switch
@@ -251,6 +256,14 @@
 	return set
 }
 
+// disk is a machine's disk, with luck of its own.
+func (f *fleet) disk(m *machine) *scenario.Disk {
+	if m.data == nil {
+		m.data = &scenario.Disk{Under: vault.Files{}, Luck: rand.New(rand.NewSource(f.seed*100 + int64(m.name[1]))).Float64}
+	}
+	return m.data
+}
+
 // start runs the programs of a machine.
 func (f *fleet) start(m *machine) {
 	set := f.settings(m)
@@ -267,10 +280,8 @@
 		if err := os.MkdirAll(set.DataDirectory, 0o755); err != nil {
 			f.t.Fatal(err)
 		}
-		reg, err := registrar.New(set, event.Nop(), n)
-		if err != nil {
-			f.t.Fatal(err)
-		}
+		f.disk(m)
+		reg := registrar.New(set, event.Nop(), n, m.data)
 		m.reg = reg
 		go func() { _ = reg.Run() }()
 		go func() { _ = reg.Cast(f.mesh.cast(inner(settings.Registrar))) }()
@@ -288,6 +299,7 @@
 		f.mesh.down(m.addr, "")
 		sw.Close()
 		if m.reg != nil {
+			m.data.End()
 			m.reg.Stop()
 		}
 		for _, s := range servers {
@@ -327,7 +339,17 @@
 		raw, _ := json.Marshal(slices.Collect(maps.Values(f.tenants)))
 		tenants = `"tenants":` + string(raw) + `,`
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
+	more := &strings.Builder{}
+	for i := range f.routes { // they differ, so that they don't compress to nothing
+		rng := rand.New(rand.NewSource(int64(i)))
+		if i == int(version)%f.routes {
+			rng.Seed(int64(version * 1000))
+		}
+		long := make([]byte, 400)
+		_, _ = rng.Read(long)
+		fmt.Fprintf(more, `{"name":"m%d","hostname":"h.example","pathPrefix":"/m%d/%x/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"},`, i, i, long)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[`+more.String()+`{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
 }
 
 // order sends a configuration to a machine, again and again on 503 if patient.
@@ -504,6 +526,87 @@
 		f.mesh.mu.Lock()
 		f.mesh.lossy, _ = strconv.ParseFloat(c.Word(0), 64)
 		f.mesh.mu.Unlock()
+	case "slow": // slow NAMES KBPS: the links of these machines take so many kilobits a second each way; 0: no bound
+		f.mesh.mu.Lock()
+		for _, m := range f.pick(c.Word(0)) {
+			f.mesh.rates[m.addr] = float64(uintOf(1)) * 1000 / 8
+		}
+		f.mesh.mu.Unlock()
+	case "disk": // disk NAMES ok|full|hangs
+		for _, m := range f.pick(c.Word(0)) {
+			f.disk(m).Set(c.Word(1) == "full", c.Word(1) == "hangs")
+		}
+	case "power": // power NAMES: they lose power, and names that were not synced may be lost
+		var wg sync.WaitGroup
+		for _, m := range f.pick(c.Word(0)) {
+			f.mesh.down(m.addr, "")
+			wg.Go(func() {
+				if m.stop != nil {
+					m.stop()
+				}
+				if m.data != nil {
+					m.data.Lose()
+				}
+			})
+		}
+		wg.Wait()
+	case "tear": // tear NAMES garbage|half|short|nothing|gone: what is left of the cells' file on machines that are down
+		for _, m := range f.pick(c.Word(0)) {
+			path := filepath.Join(f.dir, m.name, "vault.db")
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			switch c.Word(1) {
+			case "garbage":
+				clear(raw)
+			case "half":
+				raw = raw[:len(raw)/2]
+			case "short":
+				raw = raw[:5000]
+			case "nothing":
+				raw = nil
+			}
+			if err = os.WriteFile(path, raw, 0o600); c.Word(1) == "gone" {
+				err = os.Remove(path)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	case "routes": // routes N: so many more in the configurations from now on
+		f.routes = int(uintOf(0))
+	case "changes": // changes FROM N AT [gap= within=]: so many, one on the other; each is acknowledged
+		for i := range uintOf(1) {
+			v := uintOf(0) + i
+			if st := f.order(f.pick(c.Word(2))[0], v, f.newest, "", time.Duration(c.Number("within", 8000))*time.Millisecond); st != http.StatusOK {
+				return fmt.Errorf("version %d: %d", v, st)
+			}
+			time.Sleep(time.Duration(c.Number("gap", 50)) * time.Millisecond)
+		}
+		f.statusL = map[string]int{}
+	case "want-applied": // want-applied VERSION NAMES WITHIN: decided by these registrars themselves
+		last := ""
+		err := f.until(c.Millis(2), "the version at "+c.Word(1), func() bool {
+			for _, m := range f.pick(c.Word(1)) {
+				_, raw := f.call(m, http.MethodGet, "/Notices.Read", 0, "")
+				var v registrar.NoticesView
+				last = fmt.Sprintf("%.200s", raw)
+				if json.Unmarshal([]byte(raw), &v) != nil || v.Decided["configuration"] < uintOf(0) {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return errors.Join(err, errors.New(last))
+		}
+	case "want-state": // want-state KILOBYTES NAME rows=: what the disk of a machine that is down holds of the exchange cell is no larger, nor its outbox
+		size, rows, what, err := stateOf(filepath.Join(f.dir, c.Word(1)))
+		if err == nil && (size > int(uintOf(0))<<10 || rows > int(c.Number("rows", 1e6))) {
+			err = fmt.Errorf("%d bytes: %s", size, what)
+		}
+		return err
 	case "list", "drain", "unlist": // ID...
 		f.mu.Lock()
 		for _, id := range c.Words {
@@ -786,22 +889,115 @@
 	return nil
 }
 
+// stateOf says how much a disk holds of the exchange cell, and of what.
+func stateOf(dir string) (size, rows int, what string, err error) {
+	v, err := vault.Open(dir, vault.Files{}, func(error) {})
+	if err != nil {
+		return 0, 0, "", err
+	}
+	defer v.Close()
+	s, _, err := v.Load(registrar.ExchangeCell)
+	if err != nil || s.Snap == nil {
+		return 0, 0, "", errors.Join(err, errors.New("no snapshot"))
+	}
+	raw, err := wire.Marshal(&s)
+	by, keys := map[string]int{}, map[string]int{}
+	for k, val := range s.Snap.State {
+		kind, _, _ := strings.Cut(k, "/")
+		by[kind] += len(k) + len(val.Bytes)
+		keys[kind]++
+	}
+	return len(raw), keys["outbox"], fmt.Sprintf("%d packed, %d entries, keys %v, bytes %v", len(wire.Pack(raw)), len(s.Entries), keys, by), err
+}
+
 func TestFleet(t *testing.T) {
 	scenario.Play(t, "testdata/fleet", func(t *testing.T, run func(*testing.T)) { synctest.Test(t, run) }, func(t *testing.T) scenario.World {
 		f := newFleet(t)
-		t.Cleanup(func() {
-			var wg sync.WaitGroup
-			for _, m := range f.machines {
-				if m.stop != nil {
-					wg.Go(m.stop)
-				}
-			}
-			wg.Wait()
-			f.mesh.down("", "")
-			f.mesh.down("10.200.0.1", "")
-			f.mesh.down("10.9.0.1", "")
-			time.Sleep(time.Minute)
-		})
+		t.Cleanup(f.close)
 		return f
 	})
 }
+
+// TestDisks draws troubles of disks, links and power, one machine at a time or all power at
+// once, while changes go on; what was acknowledged is there in the end, and everybody has
+// it. COMETHOLD_SEEDS says how many draws.
+func TestDisks(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
+	if err != nil {
+		seeds = 1
+	}
+	for seed := range seeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				f.seed = int64(seed)
+				t.Cleanup(f.close)
+				rng := rand.New(rand.NewSource(int64(seed)))
+				do := func(line string, args ...any) {
+					c, _ := scenario.Parse(fmt.Sprintf(line, args...))
+					if err := f.Do(c); err != nil {
+						t.Errorf("%s: %v", c.Line, err)
+					}
+				}
+				do("core a b c")
+				do("list l1")
+				do("routes 5")
+				do("begin")
+				version := 1
+				for range 3 {
+					bad, n := rng.Intn(3), 1+rng.Intn(90)
+					well, name := 1+(bad+1)%3, fmt.Sprintf("c%d", bad+1)
+					gap := 5 + rng.Intn(20)
+					var wg sync.WaitGroup
+					wg.Go(func() { do("changes %d %d c%d gap=%d within=30000", version, n, well, gap) })
+					for range 1 + rng.Intn(3) {
+						do("run %d", rng.Intn(900))
+						switch rng.Intn(7) {
+						case 0:
+							do("kill %s", name)
+						case 1:
+							do("power %s", name)
+						case 2:
+							do("disk %s full", name)
+						case 3:
+							do("disk %s hangs", name)
+						case 4:
+							do("slow %s %d", name, 50+rng.Intn(1000))
+						case 5:
+							do("power all")
+							do("start all")
+						case 6:
+							do("start %s", name)
+						}
+					}
+					wg.Wait()
+					version += n
+					do("disk all ok")
+					do("start all")
+					do("run %d", rng.Intn(2000))
+					do("slow all 0")
+				}
+				do("want-read 9000")
+				do("want-applied %d all 9000", version-1)
+			})
+		})
+	}
+}
+
+// close ends all of a fleet.
+func (f *fleet) close() {
+	var wg sync.WaitGroup
+	for _, m := range f.machines {
+		if m.data != nil {
+			m.data.Set(false, false)
+		}
+		if m.stop != nil {
+			wg.Go(m.stop)
+		}
+	}
+	wg.Wait()
+	f.mesh.down("", "")
+	f.mesh.down("10.200.0.1", "")
+	f.mesh.down("10.9.0.1", "")
+	time.Sleep(time.Minute)
+}
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -20,6 +20,8 @@
 	cut    map[[2]string]bool
 	conns  []*meshConn
 	casts  map[string]*meshCast
+	rates  map[string]float64      // bytes a second, each way, of a machine's link
+	busy   map[[2]string]time.Time // until when a link is taken, each way
 	lossy  float64
 	luck   func() float64
 	closed bool
@@ -46,7 +48,7 @@
 )
 
 func newMesh(luck func() float64) *mesh {
-	return &mesh{ports: map[string]*port{}, lives: map[string]int{}, cut: map[[2]string]bool{}, casts: map[string]*meshCast{}, luck: luck}
+	return &mesh{ports: map[string]*port{}, lives: map[string]int{}, cut: map[[2]string]bool{}, casts: map[string]*meshCast{}, rates: map[string]float64{}, busy: map[[2]string]time.Time{}, luck: luck}
 }
 
 func hostOf(addr string) string { h, _, _ := net.SplitHostPort(addr); return h }
@@ -114,7 +116,41 @@
 			return 0, errSilent
 		}
 	}
-	return c.Conn.Write(b)
+	n := 0
+	for len(b) > 0 {
+		part := b[:min(len(b), meshPart)]
+		for wait := c.m.taken(c.from, c.to, 0); wait > 0; wait = c.m.taken(c.from, c.to, 0) {
+			time.Sleep(wait)
+		}
+		k, err := c.Conn.Write(part)
+		if n += k; err != nil {
+			return n, err
+		}
+		b = b[k:]
+		time.Sleep(c.m.taken(c.from, c.to, k))
+	}
+	return n, nil
+}
+
+// meshPart is what goes over a link at a time: connections share it.
+const meshPart = 4 << 10
+
+// taken returns for how long the links of both machines are taken once so many bytes more
+// go over them.
+func (m *mesh) taken(from, to string, n int) (wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, l := range [][2]string{{from, "out"}, {to, "in"}} {
+		if r := m.rates[l[0]]; r > 0 {
+			if m.busy[l].Before(now) {
+				m.busy[l] = now
+			}
+			m.busy[l] = m.busy[l].Add(time.Duration(float64(n) / r * float64(time.Second)))
+			wait = max(wait, m.busy[l].Sub(now))
+		}
+	}
+	return wait
 }
 
 func (m *mesh) listen(addr string) net.Listener {
