--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -76,8 +76,8 @@
 	return few
 }
 
-// Play runs every file of a folder in a world of its own. wrap puts each run
-// into its simulated time.
+// Play runs every file of a folder in a world of its own, several at once. wrap puts
+// each run into its simulated time.
 func Play(t *testing.T, dir string, wrap func(t *testing.T, run func(t *testing.T)), world func(t *testing.T) World) {
 	files, err := filepath.Glob(filepath.Join(dir, "*.txt"))
 	if err != nil || len(files) == 0 {
@@ -89,6 +89,7 @@
 			t.Fatal(err)
 		}
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
 			wrap(t, func(t *testing.T) {
 				w := world(t)
 				for i, line := range strings.Split(string(raw), "\n") {
