Orders: old ones are known by archives; no 4xx without proven state

Cause: receipts were deleted after 256 changes, so an order that was taken before got 412 when it was sent again; a body that broke off got 400; a copy that could not be looked at (the node ends between the confirmation and the look, or its cell is damaged) read as version 0, so 412 and 404; of two large orders at once the second got 503 at once, and the room for one was given back before the parsing that it was for.

Change: 64 receipts at a time are folded into an archive record (version, base, 8 bytes of the digest), 64 records are kept, and what is older than that gets 503, not 412. Broken bodies get 408 and a closed connection, and have 10 s. No state: 503. Large orders wait 500 ms for their turn and are parsed in it. A read of the proposer that got no answer is asked again until the call's time is over. Versions above 2^63 keep their sign.

--- a/internal/registrar/cut.go
+++ b/internal/registrar/cut.go
@@ -51,7 +51,7 @@
 	groups := cutOf(cfg)
 	kept, fresh, gone := recut(old, groups)
 	var t cell.Txn
-	t.Conditions = []cell.Condition{{Key: keyVersion, Equals: cell.Int(int64(version))}}
+	t.Conditions = []cell.Condition{{Key: keyVersion, Equals: uintValue(version)}}
 	cut := func(group string) []string { return strings.Split(group, "\x00") }
 	records := map[string]indexRecord{}
 	for ix, g := range kept {
--- a/internal/registrar/notices.go
+++ b/internal/registrar/notices.go
@@ -21,7 +21,7 @@
 
 // Bounds of the tables. Ours; see docs/design.md.
 const (
-	keepReceipts   = 256 // of configurations
+	keepRedrives   = 256
 	keepPublished  = 128 // rows that were sent
 	keepQuarantine = 64
 	publishEvery   = 500 * time.Millisecond
@@ -383,7 +383,7 @@
 		}
 	}
 	old := m.KeysFrom(keyRedrive, keyRedrive)
-	for i := 0; i+keepReceipts <= len(old); i++ {
+	for i := 0; i+keepRedrives <= len(old); i++ {
 		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: old[i]})
 	}
 	return t, known
--- a/internal/registrar/operate.go
+++ b/internal/registrar/operate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -144,11 +143,12 @@
 
 // redriveNotice has a notice sent once more, or closes its case.
 func (r *Registrar) redriveNotice(c echo.Context) error {
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRecallBytes))
-	var d redrive
-	if err == nil {
-		err = json.Unmarshal(raw, &d)
+	raw, status, why := readBody(c, maxRecallBytes)
+	if status != 0 {
+		return refuse(c, status, why)
 	}
+	var d redrive
+	err := json.Unmarshal(raw, &d)
 	if err == nil {
 		err = d.check()
 	}
--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"comethold/internal/cell"
@@ -20,7 +21,9 @@
 // Limits of the operator's calls. The operator moves on after a second.
 const (
 	maxOrderBytes = 8 << 20
-	largeOrder    = 1 << 20 // of these one at a time is read
+	largeOrder    = 1 << 20                // of these one at a time is read
+	largeWait     = 500 * time.Millisecond // for its turn
+	bodyPatience  = 10 * time.Second
 	orderPatience = 1500 * time.Millisecond
 	baseHeader    = "X-Comethold-Base-Version"
 	greetTime     = time.Second     // in which registrars that start together have met
@@ -46,58 +49,82 @@
 	make    func(current []byte) (*numbering.Configuration, []byte, error)
 }
 
-// readOrder reads what Replace and Amend share. To read a large order takes many
-// times its size, so there is room for one.
-func (r *Registrar) readOrder(c echo.Context) (*order, int, string) {
+// readOrder reads what Replace and Amend share. To read and parse a large order takes
+// many times its size, so there is room for one.
+func (r *Registrar) readOrder(c echo.Context, parse func(*order) error) (*order, int, string) {
 	if n := c.Request().ContentLength; n < 0 || n > largeOrder {
-		if !r.large.TryLock() {
+		select {
+		case r.large <- struct{}{}:
+			defer func() { <-r.large }()
+		case <-time.After(largeWait):
 			return nil, http.StatusServiceUnavailable, "another large order is being read"
+		case <-c.Request().Context().Done():
+			return nil, http.StatusServiceUnavailable, "the caller is gone"
 		}
-		defer r.large.Unlock()
 	}
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxOrderBytes+1))
-	if err != nil {
-		return nil, http.StatusBadRequest, "the body broke off"
-	}
-	if len(raw) > maxOrderBytes {
-		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
+	raw, status, why := readBody(c, maxOrderBytes)
+	if status != 0 {
+		return nil, status, why
 	}
 	base, err := strconv.ParseUint(c.Request().Header.Get(baseHeader), 10, 64)
 	if err != nil {
 		return nil, http.StatusBadRequest, baseHeader + " holds no version"
 	}
-	return &order{base: base, raw: raw}, 0, ""
+	o := &order{base: base, raw: raw}
+	if err := parse(o); err != nil {
+		r.log.Warn(event.ConfigRefused).Err(err).Msg("configuration or amendment refused")
+		return nil, http.StatusBadRequest, err.Error()
+	}
+	return o, 0, ""
+}
+
+// readBody reads the body of an operator's call. One that breaks off or comes too slowly
+// says nothing of the order: it is the call that failed, and it may be made again.
+func readBody(c echo.Context, most int64) (raw []byte, status int, why string) {
+	body := http.NewResponseController(c.Response())
+	_ = body.SetReadDeadline(time.Now().Add(bodyPatience))
+	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, most+1))
+	switch {
+	case err != nil:
+		c.Response().Header().Set("Connection", "close")
+		return nil, http.StatusRequestTimeout, "the body broke off"
+	case int64(len(raw)) > most:
+		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
+	}
+	_ = body.SetReadDeadline(time.Time{})
+	return raw, 0, ""
 }
 
 // replace takes a whole configuration on top of a base version.
 func (r *Registrar) replace(c echo.Context) error {
-	o, status, why := r.readOrder(c)
+	o, status, why := r.readOrder(c, func(o *order) error {
+		cfg, err := numbering.Read(o.raw)
+		if err != nil {
+			return err
+		}
+		o.version = cfg.Version
+		o.make = func([]byte) (*numbering.Configuration, []byte, error) { return cfg, o.raw, nil }
+		return nil
+	})
 	if o == nil {
 		return refuse(c, status, why)
 	}
-	cfg, err := numbering.Read(o.raw)
-	if err != nil {
-		r.log.Warn(event.ConfigRefused).Err(err).Msg("configuration refused")
-		return refuse(c, http.StatusBadRequest, err.Error())
-	}
-	o.version = cfg.Version
-	o.make = func([]byte) (*numbering.Configuration, []byte, error) { return cfg, o.raw, nil }
 	return r.decide(c, o)
 }
 
 // amend takes a change of named items on top of a base version.
 func (r *Registrar) amend(c echo.Context) error {
-	o, status, why := r.readOrder(c)
+	o, status, why := r.readOrder(c, func(o *order) error {
+		am, err := numbering.ReadAmendment(o.raw)
+		if err != nil {
+			return err
+		}
+		o.version, o.make = am.Version, am.Apply
+		return nil
+	})
 	if o == nil {
 		return refuse(c, status, why)
 	}
-	am, err := numbering.ReadAmendment(o.raw)
-	if err != nil {
-		r.log.Warn(event.ConfigRefused).Err(err).Msg("amendment refused")
-		return refuse(c, http.StatusBadRequest, err.Error())
-	}
-	o.version = am.Version
-	o.make = am.Apply
 	return r.decide(c, o)
 }
 
@@ -117,27 +144,29 @@
 // this call or an earlier one, is acknowledged.
 func (r *Registrar) take(ctx context.Context, o *order) (int, string) {
 	sum := notice.Digest(o.raw)
-	key := receiptKey(o.version, o.base)
 	if r.growing() {
 		return http.StatusServiceUnavailable, "the control plane is still being founded"
 	}
 	for try := range 3 {
 		var t cell.Txn
 		var current uint64
-		var receipt *notice.Receipt
+		var replay notice.Replay
+		var forgotten bool
 		var old []byte
-		r.host.ask(func() {
-			if m := r.host.cells[ExchangeCell]; m != nil {
-				current, old = configOf(m)
-				receipt = receiptOf(m, key)
-			}
-		})
-		switch receipt.Look(sum) {
-		case notice.Repeated: // applied here, so chosen by a majority: taken already
-			return receipt.Status, ""
-		case notice.Conflicting:
+		if !r.exchange(func(m *cell.Member) {
+			current, old = configOf(m)
+			replay, forgotten = replayOf(m, o.version, o.base, sum)
+		}) {
+			return http.StatusServiceUnavailable, translate(ErrNoProposer)
+		}
+		switch {
+		case replay == notice.Repeated: // applied here, so chosen by a majority: taken already
+			return http.StatusOK, ""
+		case replay == notice.Conflicting:
 			go r.quarantineOrder(o, sum)
 			return http.StatusPreconditionFailed, "version " + strconv.FormatUint(o.version, 10) + " was taken with other content"
+		case forgotten:
+			return http.StatusServiceUnavailable, "the order is so old that nobody knows whether it was taken"
 		}
 		if current == o.base && o.version > current {
 			cfg, raw, err := o.make(old)
@@ -150,11 +179,9 @@
 			} else {
 				changed = changedTenants(nil, cfg) // any may have changed
 			}
-			r.host.ask(func() {
-				if m := r.host.cells[ExchangeCell]; m != nil {
-					if now, _ := configOf(m); now == current {
-						t = configTxn(m, cfg, raw, sum, changed)
-					}
+			r.exchange(func(m *cell.Member) {
+				if now, _ := configOf(m); now == current {
+					t = configTxn(m, cfg, raw, sum, changed)
 				}
 			})
 			if t.Ops != nil {
@@ -180,6 +207,19 @@
 	return http.StatusServiceUnavailable, "the cell is busy"
 }
 
+// exchange looks at this node's copy of the exchange cell. Where it reports false there
+// was nothing to look at, as while the node ends, and what f sets means nothing.
+func (r *Registrar) exchange(f func(*cell.Member)) bool {
+	var seen atomic.Bool
+	r.host.ask(func() {
+		if m := r.host.cells[ExchangeCell]; m != nil {
+			f(m)
+			seen.Store(true)
+		}
+	})
+	return seen.Load()
+}
+
 // growing reports whether the system was founded a moment ago and the exchange cell
 // has yet to seat the registrars that make it bear the losses that it must bear:
 // what it acknowledges before could be gone with fewer disks.
@@ -231,11 +271,9 @@
 	}
 	var version uint64
 	var raw []byte
-	r.host.ask(func() {
-		if m := r.host.cells[ExchangeCell]; m != nil {
-			version, raw = configOf(m)
-		}
-	})
+	if !r.exchange(func(m *cell.Member) { version, raw = configOf(m) }) {
+		return refuse(c, http.StatusServiceUnavailable, translate(ErrNoProposer))
+	}
 	if version == 0 {
 		return refuse(c, http.StatusNotFound, "no configuration has been taken yet")
 	}
--- a/internal/registrar/propose.go
+++ b/internal/registrar/propose.go
@@ -168,8 +168,20 @@
 
 // Sync waits until this node's copy of the cell is current.
 func (h *Host) Sync(ctx context.Context, name string) error {
-	v, err := h.attempt(ctx, name, "/confirm", &proposal{Cell: name},
-		func(ctx context.Context) verdict { return h.readHere(ctx, name) })
+	v, err := verdict{}, ErrUnclear
+	for errors.Is(err, ErrUnclear) { // to ask again does no harm
+		v, err = h.attempt(ctx, name, "/confirm", &proposal{Cell: name},
+			func(ctx context.Context) verdict { return h.readHere(ctx, name) })
+		if errors.Is(err, ErrUnclear) {
+			select {
+			case <-time.After(noLeaderPause):
+			case <-ctx.Done():
+				return ErrNoProposer
+			case <-h.quit:
+				return ErrNoProposer
+			}
+		}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/registrar/recall.go
+++ b/internal/registrar/recall.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/big"
 	"net/http"
 	"sort"
@@ -59,9 +58,9 @@
 
 // purge takes a purge order and answers once a majority keeps it.
 func (r *Registrar) purge(c echo.Context) error {
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRecallBytes+1))
-	if err != nil || len(raw) > maxRecallBytes {
-		return refuse(c, http.StatusBadRequest, "the body broke off or is too large")
+	raw, status, why := readBody(c, maxRecallBytes)
+	if status != 0 {
+		return refuse(c, status, why)
 	}
 	rec, err := readPurge(raw)
 	if err != nil {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -45,8 +45,8 @@
 	notices  *noticeBox
 	usages   *usages
 
-	large sync.Mutex // held while a large order is read
-	young bool       // this is the first start of the whole system
+	large chan struct{} // room for one large order that is read
+	young bool          // this is the first start of the whole system
 	quit  chan struct{}
 	once  sync.Once
 	wg    sync.WaitGroup
@@ -92,7 +92,7 @@
 		return nil, err
 	}
 	self := Hello{ID: id, Addr: set.IPAddress, Zone: set.AvailabilityZone, Name: set.NodeName}
-	r := &Registrar{set: set, log: log, board: newBoard(), quit: make(chan struct{}),
+	r := &Registrar{set: set, log: log, board: newBoard(), quit: make(chan struct{}), large: make(chan struct{}, 1),
 		seen: map[string]seenNode{}, suspects: map[string]map[string]time.Time{},
 		reports: map[string]map[string]time.Time{}, wells: map[string]wellReport{}, bad: map[string]feed.Report{},
 		deskWake: make(chan struct{}, 1), recalls: make(chan *pendingRecall, recallQueue),
--- a/internal/registrar/schema.go
+++ b/internal/registrar/schema.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/big"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 
 	"comethold/internal/cell"
@@ -23,14 +25,17 @@
 	keyVersion = "config/version"
 	keyRaw     = "config/raw"
 	keyReceipt = "receipt/" // + idempotency key: notice.Receipt
-	keyNode    = "node/"    // + name: feed.Node
-	keyIndex   = "index/"   // + name: indexRecord
-	keyNextID  = "index-next"
-	keyDuty    = "duty/"        // + name: dutyRecord
-	keyRecall  = "recall/"      // + log position and transaction: []feed.Recall
-	keyFloor   = "recall-floor" // recalls up to this position are forgotten
-	keyShares  = "shares"       // map of node to feed.Share, for the rates of services
-	keyQuotas  = "quota-shares" // the same for the tenants' quotas
+	// What is swept of the receipts is kept in short: + first version: archive.
+	keyArchive   = "receipt-archive/"
+	keyForgotten = "receipt-forgotten" // what was taken up to this version is not known any more
+	keyNode      = "node/"             // + name: feed.Node
+	keyIndex     = "index/"            // + name: indexRecord
+	keyNextID    = "index-next"
+	keyDuty      = "duty/"        // + name: dutyRecord
+	keyRecall    = "recall/"      // + log position and transaction: []feed.Recall
+	keyFloor     = "recall-floor" // recalls up to this position are forgotten
+	keyShares    = "shares"       // map of node to feed.Share, for the rates of services
+	keyQuotas    = "quota-shares" // the same for the tenants' quotas
 
 	keyUsage      = "usage/"      // + window: notice.Row with the report
 	keyOutbox     = "outbox/"     // + log position and transaction: notice.Row
@@ -71,6 +76,91 @@
 	return nil
 }
 
+// Bounds of the memory of orders: it reaches back over keepReceipts and
+// archiveSize·keepArchives changes at least, in some 60 KB of state.
+const (
+	keepReceipts = 256
+	archiveSize  = 64 // receipts that are archived together
+	keepArchives = 64
+)
+
+// archived is what is kept of a receipt in the end.
+type archived struct {
+	_           struct{} `cbor:",toarray"`
+	Version     uint64
+	Base        uint64
+	Fingerprint []byte // the first archivedBytes of it
+}
+
+const archivedBytes = 8
+
+// replayOf says what is known of an order: whether it was taken, or one that contradicts
+// it. forgotten: it is too old for that.
+func replayOf(m *cell.Member, version, base uint64, sum []byte) (replay notice.Replay, forgotten bool) {
+	if rec := receiptOf(m, receiptKey(version, base)); rec != nil {
+		return rec.Look(sum), false
+	}
+	if current, _ := configOf(m); version > current {
+		return notice.Fresh, false
+	}
+	if v, ok := m.Get(keyForgotten); ok && v.Int != nil && v.Int.Uint64() >= version {
+		return notice.Fresh, true
+	}
+	keys := m.KeysFrom(keyArchive, keyArchive)
+	at := sort.SearchStrings(keys, archiveKey(version+1))
+	if at == 0 {
+		return notice.Fresh, false
+	}
+	for _, a := range archiveOf(m, keys[at-1]) {
+		if a.Version == version && a.Base == base {
+			return (&notice.Receipt{Fingerprint: a.Fingerprint}).Look(sum[:archivedBytes]), false
+		}
+	}
+	return notice.Fresh, false
+}
+
+func archiveKey(first uint64) string { return fmt.Sprintf("%s%020d", keyArchive, first) }
+
+func archiveOf(m *cell.Member, key string) (list []archived) {
+	if v, ok := m.Get(key); ok && wire.Unmarshal(v.Bytes, &list) != nil {
+		return nil
+	}
+	return list
+}
+
+// sweepReceipts archives the oldest receipts once there are enough of them, and forgets
+// the oldest archive where there are too many. It goes with a change that is conditioned
+// on the version, and these tables move only with the version.
+func sweepReceipts(m *cell.Member) (ops []cell.Op) {
+	receipts := m.KeysFrom(keyReceipt, keyReceipt)
+	if len(receipts) < keepReceipts+archiveSize {
+		return nil
+	}
+	var list []archived
+	for _, k := range receipts[:archiveSize] {
+		ops = append(ops, cell.Op{Kind: cell.OpDelete, Key: k})
+		rec := receiptOf(m, k)
+		_, base, _ := strings.Cut(strings.TrimPrefix(k, keyReceipt+notice.Configuration+"/"), "/")
+		n, err := strconv.ParseUint(base, 10, 64)
+		if rec != nil && err == nil && len(rec.Fingerprint) >= archivedBytes {
+			list = append(list, archived{Version: rec.Version, Base: n, Fingerprint: rec.Fingerprint[:archivedBytes]})
+		}
+	}
+	if len(list) > 0 {
+		ops = append(ops, cell.Op{Kind: cell.OpPut, Key: archiveKey(list[0].Version), Value: encode(list)})
+	}
+	archives := m.KeysFrom(keyArchive, keyArchive)
+	if len(archives) < keepArchives {
+		return ops
+	}
+	ops = append(ops, cell.Op{Kind: cell.OpDelete, Key: archives[0]})
+	if gone := archiveOf(m, archives[0]); len(gone) > 0 {
+		last := gone[len(gone)-1].Version
+		ops = append(ops, cell.Op{Kind: cell.OpPut, Key: keyForgotten, Value: uintValue(last)})
+	}
+	return ops
+}
+
 func encode(v any) cell.Value {
 	b, err := wire.Marshal(v)
 	if err != nil {
@@ -79,6 +169,8 @@
 	return cell.Bytes(b)
 }
 
+func uintValue(n uint64) cell.Value { return cell.Value{Int: new(big.Int).SetUint64(n)} }
+
 func configOf(m *cell.Member) (uint64, []byte) {
 	v, ok := m.Get(keyVersion)
 	if !ok || v.Int == nil {
@@ -100,20 +192,17 @@
 	}
 	t := cell.Txn{Ops: []cell.Op{
 		{Kind: cell.OpPut, Key: key, Value: encode(notice.Receipt{Fingerprint: sum, Status: http.StatusOK, Version: c.Version})},
-		{Kind: cell.OpPut, Key: keyVersion, Value: cell.Int(int64(c.Version))},
+		{Kind: cell.OpPut, Key: keyVersion, Value: uintValue(c.Version)},
 		{Kind: cell.OpAppend, Key: keyOutbox, Value: encode(notice.Row{Notice: n, State: notice.Pending})},
 	}}
 	if base == 0 {
 		t.Conditions = []cell.Condition{{Key: keyVersion, Absent: true}}
 		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPut, Key: keyRaw, Value: cell.Bytes(raw)})
 	} else {
-		t.Conditions = []cell.Condition{{Key: keyVersion, Equals: cell.Int(int64(base))}}
+		t.Conditions = []cell.Condition{{Key: keyVersion, Equals: uintValue(base)}}
 		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpPatch, Key: keyRaw, Value: cell.Bytes(cell.MakePatch(old, raw))})
 	}
-	receipts := m.KeysFrom(keyReceipt, keyReceipt)
-	for i := 0; i+keepReceipts <= len(receipts); i++ {
-		t.Ops = append(t.Ops, cell.Op{Kind: cell.OpDelete, Key: receipts[i]})
-	}
+	t.Ops = append(t.Ops, sweepReceipts(m)...)
 	return t
 }
 
