Notices are told in order; an answer without content confirms no copy

Cause: a registrar told nodes of a notice at a later position (or of another at the same) while one waited for its configuration to be read; nodes then asked from that position on, and never got the one that waited: tokens drawn under old limits were kept. And an empty answer to /confirm counted as one, so an order could be refused on an old copy.

Change: what comes after a notice that waits, or at its position, is told after it, all of a position at once. Sync asks again until it is confirmed.

--- a/internal/registrar/notices.go
+++ b/internal/registrar/notices.go
@@ -1,10 +1,13 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
+	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -122,8 +125,11 @@
 		have[notice.Configuration] = cfg.Version
 	}
 	changed := false
+	// Nodes go by the newest position that they were told of: what comes after a notice
+	// that waits, or at its position, is told after it.
+	told, waits := []feed.Notice(nil), uint64(math.MaxUint64)
 	for i := range rows {
-		n := &rows[i].row.Notice
+		n, slot := &rows[i].row.Notice, slotOf(rows[i].key, keyOutbox)
 		if n.Version <= have[n.Aggregate] && n.After > b.inbox.Done[n.Aggregate] {
 			// What was between is in the state that is held here; its rows are swept.
 			b.inbox.Base(n.Aggregate, n.After)
@@ -131,9 +137,11 @@
 		switch d, why := b.inbox.Decide(n, have[n.Aggregate]); d {
 		case notice.Applied:
 			changed = true
-			r.board.addNotice(slotOf(rows[i].key, keyOutbox), *n)
-		case notice.Duplicate:
-			r.board.addNotice(slotOf(rows[i].key, keyOutbox), *n) // it may be new to a board that has just started
+			told = append(told, feed.Notice{Pos: slot, Notice: *n})
+		case notice.Duplicate: // it may be new to a board that has just started
+			told = append(told, feed.Notice{Pos: slot, Notice: *n})
+		case notice.Deferred:
+			waits = min(waits, slot)
 		case notice.Quarantined:
 			if !b.told[n.EventID] {
 				b.told[n.EventID] = true
@@ -142,6 +150,7 @@
 			}
 		}
 	}
+	r.board.addNotices(slices.DeleteFunc(told, func(n feed.Notice) bool { return n.Pos >= waits }))
 	if cfg == nil {
 		return
 	}
@@ -410,22 +419,31 @@
 	return n
 }
 
-// addNotice puts a notice on the board, in order of position.
-func (b *board) addNotice(slot uint64, n notice.Notice) {
+// addNotices puts those that are new on the board, in order of position, all at once.
+func (b *board) addNotices(list []feed.Notice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := sort.Search(len(b.notices), func(i int) bool { return b.notices[i].Pos >= slot })
-	if at < len(b.notices) && b.notices[at].Pos == slot || slot <= b.noticesFrom {
+	known := map[string]bool{}
+	for i := range b.notices {
+		known[b.notices[i].Notice.EventID] = true
+	}
+	next := slices.Clone(b.notices)
+	for _, n := range list {
+		if id := n.Notice.EventID; n.Pos > b.noticesFrom && !known[id] {
+			known[id] = true
+			next = append(next, n)
+			b.noticeBase[n.Notice.Aggregate] = max(b.noticeBase[n.Notice.Aggregate], n.Notice.Version)
+		}
+	}
+	if len(next) == len(b.notices) {
 		return
 	}
-	next := append([]feed.Notice(nil), b.notices[:at]...)
-	next = append(append(next, feed.Notice{Pos: slot, Notice: n}), b.notices[at:]...)
+	slices.SortStableFunc(next, func(a, b feed.Notice) int { return cmp.Compare(a.Pos, b.Pos) })
 	if over := len(next) - keepPublished; over > 0 {
 		b.noticesFrom = next[over-1].Pos
 		next = next[over:]
 	}
 	b.notices = next
-	b.noticeBase[n.Aggregate] = max(b.noticeBase[n.Aggregate], n.Version)
 	b.changedLocked()
 }
 
--- a/internal/registrar/orders_test.go
+++ b/internal/registrar/orders_test.go
@@ -127,14 +127,18 @@
 }
 
 // TestNoStateNoRefusal: a node that ends after its copy was confirmed, and before it was
-// looked at, refuses nothing for good.
+// looked at, refuses nothing for good; nor does one whose proposer's answer says nothing.
 func TestNoStateNoRefusal(t *testing.T) {
 	e := echo.New()
-	for _, try := range []func(*Registrar, echo.Context) error{(*Registrar).read, func(r *Registrar, c echo.Context) error {
+	order := func(r *Registrar, c echo.Context) error {
 		return r.decide(c, &order{version: 5, base: 3, raw: []byte("{}")})
-	}} {
+	}
+	for i, try := range []func(*Registrar, echo.Context) error{(*Registrar).read, order, (*Registrar).read, order} {
 		var r *Registrar
 		proposer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if i >= 2 { // an answer without content
+				return
+			}
 			r.Stop()
 			b, _ := wire.Marshal(verdict{Committed: true})
 			_, _ = w.Write(wire.Pack(b))
@@ -158,9 +162,10 @@
 		if err := try(r, e.NewContext(httptest.NewRequest(http.MethodPost, "/", nil), w)); err != nil || w.Code != http.StatusServiceUnavailable {
 			t.Errorf("%d %s %v", w.Code, w.Body, err)
 		}
-		if r.exchange(func(*cell.Member) {}) {
+		if r.exchange(func(*cell.Member) {}) != (i >= 2) {
 			t.Error("the node did not end")
 		}
+		r.Stop()
 		proposer.Close()
 	}
 }
--- a/internal/registrar/propose.go
+++ b/internal/registrar/propose.go
@@ -172,6 +172,9 @@
 	for errors.Is(err, ErrUnclear) { // to ask again does no harm
 		v, err = h.attempt(ctx, name, "/confirm", &proposal{Cell: name},
 			func(ctx context.Context) verdict { return h.readHere(ctx, name) })
+		if err == nil && !v.Committed {
+			err = ErrUnclear // an answer without content confirms nothing
+		}
 		if errors.Is(err, ErrUnclear) {
 			select {
 			case <-time.After(noLeaderPause):
