Orders wait for the cell's seats also at a node that started anew

Cause: a registrar that was ended and started in the first seconds of the system took orders while the exchange cell had its three founders alone; with two of their disks an acknowledged configuration was gone. Only nodes at their very first start waited.

Change: growing() asks how long this node has run, whatever start it is. docs/safety-orders.md has the claims of this part.

--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -220,13 +220,10 @@
 	return seen.Load()
 }
 
-// growing reports whether the system was founded a moment ago and the exchange cell
-// has yet to seat the registrars that make it bear the losses that it must bear:
-// what it acknowledges before could be gone with fewer disks.
+// growing reports whether this node started a moment ago and the exchange cell has yet to
+// seat the registrars that make it bear the losses that it must bear: what it acknowledges
+// before could be gone with fewer disks. The node may have started anew since the founding.
 func (r *Registrar) growing() (yes bool) {
-	if !r.young {
-		return false
-	}
 	live := len(r.host.live(learnerSpan))
 	want := seatsFor(r.set.Tolerance.MachineLosses)
 	r.host.ask(func() {
--- a/internal/registrar/orders_test.go
+++ b/internal/registrar/orders_test.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.young = false
+	r.host.openedAt[ExchangeCell] = -growTime
 	r.Stop()
 	return r
 }
@@ -153,7 +153,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.young = false
+		r.host.openedAt[ExchangeCell] = -growTime
 		go func() { _ = r.host.Run() }()
 		r.host.ask(func() {
 			r.host.cells[ExchangeCell].Step(r.host.now(), cell.Message{Cell: ExchangeCell, Kind: cell.Beat, From: "10.0.0.2", To: "10.0.0.1", Ballot: cell.Ballot{Round: 1, By: "10.0.0.2"}, Seq: 1})
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,7 +46,6 @@
 	usages   *usages
 
 	large chan struct{} // room for one large order that is read
-	young bool          // this is the first start of the whole system
 	quit  chan struct{}
 	once  sync.Once
 	wg    sync.WaitGroup
@@ -113,7 +112,6 @@
 			v.NoteNode("list", raw)
 		}
 	}
-	r.young = empty && set.FirstStart
 	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, wire.NewClient(n), log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
--- a/internal/scenario/operators_test.go
+++ b/internal/scenario/operators_test.go
@@ -117,11 +117,17 @@
 		}
 	case "want-order": // want-order NAMES WITHIN: each of them takes an order on top of what it reads
 		for _, m := range f.pick(c.Word(0)) {
+			var last []string
 			if err := f.until(c.Millis(1), "a read and an order at "+m.name, func() bool {
 				v, ok := f.readAt(m)
-				return ok && f.send(m, v, v+1, f.body(v+1, m.name), 0) == http.StatusOK
+				status := 0
+				if ok {
+					status = f.send(m, v, v+1, f.body(v+1, m.name), 0)
+				}
+				last = append(last, fmt.Sprintf("read %d (%v), order %d", v, ok, status))
+				return status == http.StatusOK
 			}); err != nil {
-				return err
+				return fmt.Errorf("%w: %s", err, strings.Join(last, "; "))
 			}
 		}
 	case "operators": // operators N NAMES MS [seed= gap=]: so many at once send and read what they like to these machines
