A lost poller or mover is followed before machines are in touch again

Cause: duties were taken over after three lease times (3.6 s and 4.5 s), whatever they guard. With the step and the first poll a leaf that began to leave right after the poller was lost was told later than contactMs after it, where DRAIN binds again; a mover that was lost held repairs up for longer than catchUpS. Change: poller and mover are fenced (the list's stamp bears the term, moves and cuts are conditions of the cell), so two at a time do no harm: they are followed after two lease times, 2.4 s; the reporter keeps three. Moves have a loop of their own and run for all cells at once; the cut of an index cell is written on a condition. The fleet runner kills or cuts the holder of a duty, ends connections, and reads whether cells are whole.

--- a/internal/registrar/cut.go
+++ b/internal/registrar/cut.go
@@ -88,13 +88,20 @@
 	for ix, rec := range records {
 		want := cutRecord{Version: version, Cut: rec.Cut, Routes: rec.Routes}
 		var have cutRecord
-		if v, ok := r.host.Get(ix, keyCut); ok && wire.Unmarshal(v.Bytes, &have) == nil {
-			have.Version = version
-			if same(have, want) {
-				continue
+		cond := cell.Condition{Key: keyCut, Absent: true}
+		if v, ok := r.host.Get(ix, keyCut); ok {
+			cond = cell.Condition{Key: keyCut, Equals: v}
+			if wire.Unmarshal(v.Bytes, &have) == nil {
+				if have.Version > version {
+					continue // another holder knows a newer configuration
+				}
+				have.Version = version
+				if same(have, want) {
+					continue
+				}
 			}
 		}
-		if !r.propose(ix, cell.Txn{Ops: []cell.Op{{Kind: cell.OpPut, Key: keyCut, Value: encode(want)}}}) {
+		if !r.propose(ix, cell.Txn{Conditions: []cell.Condition{cond}, Ops: []cell.Op{{Kind: cell.OpPut, Key: keyCut, Value: encode(want)}}}) {
 			return // the cell lags; the configuration is in force all the same
 		}
 	}
--- a/internal/registrar/desk.go
+++ b/internal/registrar/desk.go
@@ -13,6 +13,8 @@
 
 // Pacing of the desk's work. Ours; see docs/design.md.
 const (
+	pollHold     = 1200 * time.Millisecond
+	moveHold     = 1200 * time.Millisecond
 	pollLeast    = 800 * time.Millisecond
 	pollShare    = 0.3 // of the time in which a leaving must be heeded
 	deskEvery    = 400 * time.Millisecond
@@ -63,7 +65,6 @@
 			r.marksDesk(silent) // by a list of this term: the one of a former life is old
 		}
 		if _, ok := r.mover.held(); ok {
-			r.moveDesk()
 			r.cutDesk(&cutFor)
 			r.recallDesk(recalls)
 			r.agedDesk(aged)
--- a/internal/registrar/duty.go
+++ b/internal/registrar/duty.go
@@ -21,14 +21,20 @@
 // slowest before a lease is unsafe.
 const clockSpread = 3
 
+// fencedSpread stands in its place where two holders at a time do no harm: what they do
+// bears the term, or the cell judges it when it is applied. The work of a holder that is
+// lost must go on before the others are in touch again.
+const fencedSpread = 2
+
 // duty is a lease on work that one node does. The holder renews it through the
 // exchange cell and stops by its own steady clock, counted from before it
-// asked. Another may take it only after seeing it unrenewed for clockSpread
-// times as long, and only if it is unrenewed still when the change is applied.
+// asked. Another may take it only after seeing it unrenewed for spread times as
+// long, and only if it is unrenewed still when the change is applied.
 type duty struct {
-	name string
-	hold time.Duration
-	host *Host
+	name   string
+	hold   time.Duration
+	spread time.Duration
+	host   *Host
 
 	mu      sync.Mutex
 	term    uint64
@@ -38,8 +44,8 @@
 	renewed time.Time
 }
 
-func newDuty(h *Host, name string, hold time.Duration) *duty {
-	return &duty{name: name, hold: hold, host: h}
+func newDuty(h *Host, name string, hold time.Duration, spread int) *duty {
+	return &duty{name: name, hold: hold, spread: time.Duration(spread), host: h}
 }
 
 // held reports whether this node holds the duty now, and the term.
@@ -110,7 +116,7 @@
 	switch {
 	case mine && due:
 		d.take(raw, dutyRecord{Holder: rec.Holder, Term: rec.Term, Beat: rec.Beat + 1})
-	case !mine && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= clockSpread*d.hold || silent >= d.hold && d.host.over(rec.Holder)):
+	case !mine && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= d.spread*d.hold || silent >= d.hold && d.host.over(rec.Holder)):
 		// What is recorded for this very node but not held is of a former
 		// life, which is over, or has lapsed by its own clock. So is what is
 		// recorded for a member whose machine came back with another disk.
--- a/internal/registrar/move.go
+++ b/internal/registrar/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"comethold/internal/cell"
@@ -141,7 +142,22 @@
 	return lost.ID, in, true
 }
 
-// moveDesk carries out the moves that the cells need.
+// moveLoop moves seats while this node holds the duty. It has a loop of its own: the
+// desk's work on a cell without a majority must not delay the repair of the others.
+func (r *Registrar) moveLoop() {
+	for {
+		select {
+		case <-time.After(deskEvery):
+		case <-r.quit:
+			return
+		}
+		if _, ok := r.mover.held(); ok && r.fresh() <= staleFrom {
+			r.moveDesk()
+		}
+	}
+}
+
+// moveDesk carries out the moves that the cells need, of each cell one.
 func (r *Registrar) moveDesk() {
 	type job struct {
 		o    moveOrder
@@ -172,16 +188,20 @@
 			}
 		}
 	})
+	var wg sync.WaitGroup
 	for _, j := range jobs {
-		ctx, cancel := context.WithTimeout(context.Background(), deskWork)
-		if j.here {
-			r.moveHere(ctx, &j.o)
-		} else if j.addr != "" {
-			var v verdict
-			_ = r.host.call.Call(ctx, net.JoinHostPort(j.addr, strconv.Itoa(r.host.port)), "/move", &j.o, &v)
-		}
-		cancel()
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), deskWork)
+			defer cancel()
+			if j.here {
+				r.moveHere(ctx, &j.o)
+			} else if j.addr != "" {
+				var v verdict
+				_ = r.host.call.Call(ctx, net.JoinHostPort(j.addr, strconv.Itoa(r.host.port)), "/move", &j.o, &v)
+			}
+		})
 	}
+	wg.Wait()
 }
 
 // nudge proposes a no-op in the background.
--- a/internal/registrar/operate.go
+++ b/internal/registrar/operate.go
@@ -70,6 +70,26 @@
 	return v
 }
 
+// CellView is how a cell stands at this registrar.
+type CellView struct {
+	Seats   []cell.Seat
+	Settled bool // the newest seats are in effect
+	Voter   bool // this registrar has one
+	Applied uint64
+}
+
+// Cells tells how the cells stand here.
+func (r *Registrar) Cells() map[string]CellView {
+	out := map[string]CellView{}
+	r.host.ask(func() {
+		for name, m := range r.host.cells {
+			seats, settled := m.Seats()
+			out[name] = CellView{seats, settled, m.Voter(), m.Applied()}
+		}
+	})
+	return out
+}
+
 // DutyView is who holds a duty.
 type DutyView struct {
 	Duty   string `json:"duty"`
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -117,9 +117,9 @@
 	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, wire.NewClient(n), log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
-	r.poller = newDuty(r.host, "directory", 1200*time.Millisecond)
-	r.mover = newDuty(r.host, "mover", 1500*time.Millisecond)
-	r.reporter = newDuty(r.host, "usage", usageHold)
+	r.poller = newDuty(r.host, "directory", pollHold, fencedSpread)
+	r.mover = newDuty(r.host, "mover", moveHold, fencedSpread)
+	r.reporter = newDuty(r.host, "usage", usageHold, clockSpread)
 	if set.ReportsUsage() {
 		r.host.times, r.host.timeSeen = r.usages.times, func(peer string, wall, agreed int64) {
 			r.usages.clock.Heard(peer, wall, agreed, time.Now())
@@ -143,7 +143,7 @@
 	for _, f := range []func(){
 		func() { r.poller.run(r.quit) },
 		func() { r.mover.run(r.quit) },
-		r.pollLoop, r.deskLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.floorLoop, r.noticeLoop, r.publishLoop, r.usageLoop, r.exportLoop,
+		r.pollLoop, r.deskLoop, r.moveLoop, r.recallLoop, r.claimLoop, r.quotaLoop, r.floorLoop, r.noticeLoop, r.publishLoop, r.usageLoop, r.exportLoop,
 	} {
 		r.wg.Add(1)
 		go func() { defer r.wg.Done(); f() }()
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -49,6 +49,7 @@
 
 	tenants map[string]*fleetTenant
 	asked   int
+	indexes int
 
 	duties  bool
 	follow  bool              // lookups, for estimates
@@ -327,7 +328,12 @@
 		raw, _ := json.Marshal(slices.Collect(maps.Values(f.tenants)))
 		tenants = `"tenants":` + string(raw) + `,`
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}],"services":[{"name":"s","connectionLimit":40}],%s"limits":{}}`, version, mark, tenants)
+	more, services := "", ""
+	for i := range f.indexes {
+		more += fmt.Sprintf(`,{"name":"x%d","hostname":"h.example","pathPrefix":"/x%d/","routeKind":"safe","timeoutMs":1000,"service":"x%d","maxAttempts":2}`, i, i, i)
+		services += fmt.Sprintf(`,{"name":"x%d","connectionLimit":40}`, i)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r%s","hostname":"h.example","pathPrefix":"/","routeKind":"safe","timeoutMs":1000,"service":"s","maxAttempts":2,"lookupClass":"urgent"}%s],"services":[{"name":"s","connectionLimit":40}%s],%s"limits":{}}`, version, mark, more, services, tenants)
 }
 
 // order sends a configuration to a machine, again and again on 503 if patient.
@@ -419,6 +425,59 @@
 	return nil
 }
 
+// holder is the machine that holds a duty, as any registrar that runs tells.
+func (f *fleet) holder(duty string) (*machine, error) {
+	for _, m := range f.sorted() {
+		var v registrar.DutiesView
+		if m.reg == nil {
+			continue
+		}
+		_, raw := f.call(m, http.MethodGet, "/Duties.Read", 0, "")
+		_ = json.Unmarshal([]byte(raw), &v)
+		for _, d := range v.Duties {
+			addr, _, _ := strings.Cut(d.Holder, "~")
+			for _, h := range f.machines {
+				if d.Duty == duty && h.addr == addr && h.reg != nil {
+					return h, nil
+				}
+			}
+		}
+	}
+	return nil, fmt.Errorf("nobody holds %s", duty)
+}
+
+// whole says what a cell lacks to bear the losses that it must bear.
+func (f *fleet) whole() error {
+	live := map[string]map[string]registrar.CellView{}
+	last := map[string]uint64{}
+	for _, m := range f.sorted() {
+		if m.reg == nil {
+			continue
+		}
+		live[m.addr] = m.reg.Cells()
+		for name, c := range live[m.addr] {
+			last[name] = max(last[name], c.Applied)
+		}
+	}
+	if n := len(last); n < 2+f.indexes {
+		return fmt.Errorf("%d cells", n)
+	}
+	for addr, cells := range live {
+		for name := range last {
+			c := cells[name]
+			if len(c.Seats) != 2*f.losses+1 || !c.Settled || c.Applied+3 < last[name] {
+				return fmt.Errorf("at %s: %s has %v, settled %v, applied %d of %d", addr, name, c.Seats, c.Settled, c.Applied, last[name])
+			}
+			for _, s := range c.Seats {
+				if !live[s.Addr][name].Voter {
+					return fmt.Errorf("at %s: %s has a seat %s that doesn't vote", addr, name, s.ID)
+				}
+			}
+		}
+	}
+	return nil
+}
+
 func (f *fleet) versionAt(m *machine) uint64 {
 	if m.sw == nil || m.sw.Plan() == nil {
 		return 0
@@ -452,7 +511,9 @@
 		}
 	case "begin":
 		for _, m := range f.sorted() {
-			f.start(m)
+			if m.stop == nil { // start may have come before
+				f.start(m)
+			}
 		}
 		f.started = true
 	case "run":
@@ -478,6 +539,14 @@
 				return err
 			}
 		}
+	case "wipe-dead": // of all machines that are down
+		for _, m := range f.sorted() {
+			if m.disk && m.stop == nil {
+				if err := f.Do(scenario.Command{Verb: "wipe", Words: []string{m.name}}); err != nil {
+					return err
+				}
+			}
+		}
 	case "roll": // roll NAMES gap=: each is ended and started again in turn
 		for _, m := range f.pick(c.Word(0)) {
 			m.stop()
@@ -623,6 +692,33 @@
 			}
 			f.mesh.mu.Unlock()
 		}
+	case "kill-duty", "cut-duty": // kill-duty NAME...: the machines that hold these duties
+		var names []string
+		for _, duty := range c.Words {
+			m, err := f.holder(duty)
+			if err != nil {
+				return err
+			}
+			if !slices.Contains(names, m.name) {
+				names = append(names, m.name)
+			}
+		}
+		return f.Do(scenario.Command{Verb: strings.TrimSuffix(c.Verb, "-duty"), Words: []string{strings.Join(names, ",")}})
+	case "reset": // reset NAMES: all their connections end at once
+		for _, m := range f.pick(c.Word(0)) {
+			f.mesh.reset(m.addr)
+		}
+	case "indexes": // indexes N: from now on configurations have so many routes more, each with an index of its own
+		f.indexes = int(uintOf(0))
+	case "want-whole": // want-whole WITHIN: every cell has all its seats, at live machines that have caught up
+		var last error
+		err := f.until(c.Millis(0), "all cells are whole", func() bool {
+			last = f.whole()
+			return last == nil
+		})
+		if err != nil {
+			return errors.Join(err, last)
+		}
 	case "want-reports": // want-reports N WITHIN: so many windows in a row up to now were reported, the last that is due among them
 		return f.until(c.Millis(1), c.Word(0)+" windows in a row", func() bool {
 			f.mu.Lock()
@@ -741,13 +837,17 @@
 			}
 			return true
 		})
-	case "want-list": // want-list WITHIN: every switch has the platform's list
+	case "want-list": // want-list WITHIN [at=]: every switch, or these, has the platform's list
+		at := f.sorted()
+		if names := c.Opts["at"]; names != "" {
+			at = f.pick(names)
+		}
 		var last string
 		err := f.until(c.Millis(0), "the list on every switch", func() bool {
 			f.mu.Lock()
 			want := maps.Clone(f.listed)
 			f.mu.Unlock()
-			for _, m := range f.sorted() {
+			for _, m := range at {
 				if m.sw == nil {
 					continue
 				}
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -167,6 +167,17 @@
 	m.conns = keep
 }
 
+// reset ends every connection of a machine, which runs on.
+func (m *mesh) reset(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		if c.from == host || c.to == host {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
 // meshCast carries datagrams.
 type meshCast struct {
 	m    *mesh
