Registrars greet who greets them and who is listed; repairs go on at once

Cause: a registrar greets the seats that it knows, and the seeds. One whose disk was lost knows none, one that was away knows old ones; if the proposer was neither seed nor known, or had been restarted since, the two never met. Only the proposer teaches: the machine stayed at position 0 (or an old one) for good, and its seat without a vote. Change: greeted are also those heard lately and those in the directory, down or not; a registrar that is heard and not listed is listed by who hears it. A newcomer is taught from its first greeting on; the mover looks again after 0.1 s while seats are to move. TestGreeted without the mending: 'greets [2]'.

--- a/internal/registrar/board.go
+++ b/internal/registrar/board.go
@@ -249,6 +249,16 @@
 	return b.table
 }
 
+// registrars lists the addresses of those in the directory, down or not.
+func (b *board) registrars() (out []string) {
+	for _, n := range b.directory() {
+		if n.Control {
+			out = append(out, n.Addr)
+		}
+	}
+	return out
+}
+
 // answer returns, ready to be sent, what the caller lacks, and a channel that
 // closes at the next change.
 func (b *board) answer(call *feed.Call, stale bool) (*told, <-chan struct{}) {
--- a/internal/registrar/desk.go
+++ b/internal/registrar/desk.go
@@ -18,6 +18,7 @@
 	pollLeast    = 800 * time.Millisecond
 	pollShare    = 0.3 // of the time in which a leaving must be heeded
 	deskEvery    = 400 * time.Millisecond
+	moveAgain    = deskEvery / 4 // while seats are to move
 	digestEvery  = time.Second
 	suspectSpan  = 4 * time.Second
 	reportSpan   = 2 * time.Second
@@ -59,6 +60,7 @@
 			continue
 		}
 		r.hear(&feed.Call{Node: feed.Node{Name: r.set.NodeName + "/registrar", Addr: r.set.IPAddress, Zone: r.set.AvailabilityZone, Control: true}})
+		r.hearUnlisted()
 		r.nodesDesk()
 		r.reportsDesk()
 		if term, ok := r.poller.held(); ok && r.board.stamp().Term == term {
@@ -79,6 +81,18 @@
 	return ok && err == nil
 }
 
+// hearUnlisted has registrars listed that this one hears and that can't list themselves,
+// since nobody who could teach them knows of them.
+func (r *Registrar) hearUnlisted() {
+	held := r.board.directory()
+	for _, h := range r.host.live(seenSpan) {
+		n := feed.Node{Name: h.Name + "/registrar", Addr: h.Addr, Zone: h.Zone, Control: true}
+		if _, known := held[n.Name]; !known {
+			r.hear(&feed.Call{Node: n})
+		}
+	}
+}
+
 // nodesDesk writes nodes that called, and those that their watchers miss, into
 // the directory.
 func (r *Registrar) nodesDesk() {
--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -74,6 +74,7 @@
 	// listed is the stamp of the leaf list held here; seen is told of others'.
 	listed   func() feed.Stamp
 	seen     func(addr string, at feed.Stamp)
+	listing  func() []string // addresses of the registrars in the directory
 	times    func() (wall, agreed int64)
 	timeSeen func(addr string, wall, agreed int64)
 	helloAt  time.Duration
@@ -90,7 +91,8 @@
 		reads: map[uint64]chan uint64{}, peers: map[string]*peer{}, former: map[cell.MemberID]bool{}, seeds: seeds,
 		openedAt: map[string]time.Duration{}, changed: func(string, cell.Touched) {},
 		listed: func() feed.Stamp { return feed.Stamp{} }, seen: func(string, feed.Stamp) {},
-		times: func() (int64, int64) { return 0, 0 }, timeSeen: func(string, int64, int64) {}}
+		listing: func() []string { return nil },
+		times:   func() (int64, int64) { return 0, 0 }, timeSeen: func(string, int64, int64) {}}
 }
 
 // Identity returns the member name of this life of the disk, made and synced
--- a/internal/registrar/move.go
+++ b/internal/registrar/move.go
@@ -145,20 +145,23 @@
 // moveLoop moves seats while this node holds the duty. It has a loop of its own: the
 // desk's work on a cell without a majority must not delay the repair of the others.
 func (r *Registrar) moveLoop() {
+	pause := deskEvery
 	for {
 		select {
-		case <-time.After(deskEvery):
+		case <-time.After(pause):
 		case <-r.quit:
 			return
 		}
-		if _, ok := r.mover.held(); ok && r.fresh() <= staleFrom {
-			r.moveDesk()
+		pause = deskEvery
+		if _, ok := r.mover.held(); ok && r.fresh() <= staleFrom && r.moveDesk() {
+			pause = moveAgain
 		}
 	}
 }
 
-// moveDesk carries out the moves that the cells need, of each cell one.
-func (r *Registrar) moveDesk() {
+// moveDesk carries out the moves that the cells need, of each cell one, and reports
+// whether there were any: until all are done a further loss may be one too many.
+func (r *Registrar) moveDesk() bool {
 	type job struct {
 		o    moveOrder
 		addr string
@@ -202,6 +205,7 @@
 		})
 	}
 	wg.Wait()
+	return len(jobs) > 0
 }
 
 // nudge proposes a no-op in the background.
--- a/internal/registrar/operate.go
+++ b/internal/registrar/operate.go
@@ -76,6 +76,8 @@
 	Settled bool // the newest seats are in effect
 	Voter   bool // this registrar has one
 	Applied uint64
+	Role    cell.Role
+	Leader  cell.MemberID // as far as is known here
 }
 
 // Cells tells how the cells stand here.
@@ -84,7 +86,7 @@
 	r.host.ask(func() {
 		for name, m := range r.host.cells {
 			seats, settled := m.Seats()
-			out[name] = CellView{seats, settled, m.Voter(), m.Applied()}
+			out[name] = CellView{seats, settled, m.Voter(), m.Applied(), m.Role(), m.Leader()}
 		}
 	})
 	return out
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -85,7 +85,10 @@
 	return yes
 }
 
-// addresses lists where other registrars may be.
+// addresses lists where other registrars may be. One that comes back knows seats of long
+// ago, and those who have the seats now need not be among the seeds: those in the directory
+// are greeted as well, also while they are down, and all who are heard, or nobody might
+// teach it.
 func (h *Host) addresses() []string {
 	seen := map[string]bool{h.self.Addr: true}
 	var out []string
@@ -104,6 +107,12 @@
 	for _, a := range h.seeds {
 		add(a)
 	}
+	for _, a := range h.listing() {
+		add(a)
+	}
+	for a := range h.live(learnerSpan) {
+		add(a)
+	}
 	return out
 }
 
@@ -198,11 +207,15 @@
 		}
 		h.peersMu.Lock()
 		delete(h.former, b.Hello.ID)
-		if p.hello.ID != "" && p.hello.ID != b.Hello.ID {
+		fresh := p.hello.ID != b.Hello.ID
+		if p.hello.ID != "" && fresh {
 			h.former[p.hello.ID] = true
 		}
 		p.hello, p.heard = b.Hello, now
 		h.peersMu.Unlock()
+		if fresh {
+			h.refreshLearners() // a newcomer is taught from now on, not from the next round of greetings
+		}
 		h.seen(b.Hello.Addr, b.List)
 		if b.Wall != 0 {
 			h.timeSeen(b.Hello.Addr, b.Wall, b.Agreed)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -117,6 +117,7 @@
 	r.host = NewHost(self, set.PortOf(settings.Registrar), set.SeedHosts(), v, wire.NewClient(n), log)
 	r.host.changed = r.cellChanged
 	r.host.listed, r.host.seen = r.board.stamp, r.listSeen
+	r.host.listing = r.board.registrars
 	r.poller = newDuty(r.host, "directory", pollHold, fencedSpread)
 	r.mover = newDuty(r.host, "mover", moveHold, fencedSpread)
 	r.reporter = newDuty(r.host, "usage", usageHold, clockSpread)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -250,3 +250,16 @@
 		t.Errorf("%d sums are known", len(b.held.by))
 	}
 }
+
+// TestGreeted: a registrar that knows no seats greets, besides its seeds, whoever greets it
+// and whoever is listed: the proposer need not be a seed, and only it teaches.
+func TestGreeted(t *testing.T) {
+	h := &Host{self: Hello{ID: "1~a", Addr: "1"}, seeds: []string{"1", "2"}, start: time.Now(), cells: map[string]*cell.Member{},
+		listing: func() []string { return []string{"3", "1"} }, peers: map[string]*peer{
+			"4": {hello: Hello{ID: "4", Addr: "4"}}, "5": {hello: Hello{ID: "5", Addr: "5"}, heard: -2 * learnerSpan}}}
+	got := h.addresses()
+	sort.Strings(got)
+	if fmt.Sprint(got) != "[2 3 4]" {
+		t.Errorf("greets %v", got)
+	}
+}
