Rested connections keep the limit that they rested under; whole answers at the end

Change: a connection is closed by the longest limit in force since it rests, not in the first look after a standstill; what is open at the end gets a whole 502, or 503 if no leaf was asked. The plane runner has clients with connections. Without the mending: 'idle.txt:22: want 200=1: got map[0:1]' and 'leave.txt:24: want 502=2 200=1 0=0: got map[0:2 200:1]'.

--- /dev/null
+++ b/internal/scenario/front_test.go
@@ -0,0 +1,76 @@
+package scenario_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"comethold/internal/scenario"
+)
+
+// clients talk to a switch through its own server, on connections that they keep.
+type clients struct {
+	mesh  *mesh
+	conns map[string]net.Conn
+	idle  int // limit in the configurations
+}
+
+// doFront carries out the commands of clients with connections.
+func (p *plane) doFront(c scenario.Command) error {
+	f := &p.clients
+	switch c.Verb {
+	case "serve": // from here on connections are taken
+		f.mesh, f.conns = newMesh(func() float64 { return 1 }), map[string]net.Conn{}
+		p.set.Bounds.GracePeriodS = 6
+		l := f.mesh.listen("10.0.0.1:80")
+		go func() { _ = p.sw.Serve(l) }()
+		go func() { _ = p.sw.Sweep() }()
+	case "idle": // idle MS: limit of idle connections, with the next feed
+		f.idle, _ = strconv.Atoi(c.Word(0))
+	case "open": // open NAME: a connection without a request
+		conn, err := f.mesh.of("10.250.0.1")(time.Second, time.Second)(context.Background(), "", "10.0.0.1:80")
+		if err != nil {
+			return err
+		}
+		f.conns[c.Word(0)] = conn
+	case "say", "say-on": // say NAME HOST PATH: a request on that connection; -on: not waiting for the answer
+		if c.Verb == "say-on" {
+			p.wg.Go(func() { p.say(c) })
+			break
+		}
+		p.say(c)
+	case "leave": // SIGTERM; returns when the process would end
+		p.sw.Leave()
+		f.mesh.down("10.0.0.1", "")
+		p.wg.Wait()
+	default:
+		return errors.New("unknown command")
+	}
+	return nil
+}
+
+// say makes one request; status 0 is a connection that ended without a whole answer.
+func (p *plane) say(c scenario.Command) {
+	conn := p.clients.conns[c.Word(0)]
+	p.mu.Lock()
+	p.nextID++
+	id := fmt.Sprint("q", p.nextID)
+	p.mu.Unlock()
+	status := "0"
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Comethold-Request-Id: %s\r\n\r\n", c.Word(2), c.Word(1), id); err == nil {
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+				status = strconv.Itoa(resp.StatusCode)
+			}
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.statuses[status]++
+}
--- a/internal/scenario/plane_test.go
+++ b/internal/scenario/plane_test.go
@@ -62,6 +62,7 @@
 	quit     chan struct{}
 	alike    bool // all leafs hold the same records
 	set      *settings.Settings
+	clients  clients
 }
 
 func newPlane(t *testing.T) *plane {
@@ -192,7 +193,7 @@
 		marks[k] = v
 	}
 	p.version++
-	raw, _ := json.Marshal(map[string]any{"version": p.version, "routes": p.routes, "services": services, "tenants": p.tenants, "limits": map[string]any{"maxBodyBytes": 64}})
+	raw, _ := json.Marshal(map[string]any{"version": p.version, "routes": p.routes, "services": services, "tenants": p.tenants, "limits": map[string]any{"maxBodyBytes": 64, "idleTimeoutMs": p.clients.idle}})
 	cfg, _ := numbering.Decode(raw)
 	n := &feed.News{Config: feed.Whole(cfg), List: l,
 		Marks: []feed.Marks{{Index: "i1", Slot: p.slot, Drained: marks}},
@@ -381,7 +382,7 @@
 			return fmt.Errorf("it ran %d", n)
 		}
 	default:
-		return errors.New("unknown command")
+		return p.doFront(c)
 	}
 	return nil
 }
@@ -395,6 +396,9 @@
 			p.push()
 			close(p.quit)
 			p.sw.Close()
+			if p.clients.mesh != nil {
+				p.clients.mesh.down("10.0.0.1", "")
+			}
 			time.Sleep(time.Minute)
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/switchboard/front.go
+++ b/internal/switchboard/front.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"io"
+	"maps"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +35,41 @@
 
 	leaving atomic.Bool
 	mu      sync.Mutex
-	idle    map[net.Conn]time.Time
+	idle    map[net.Conn]rest
+	swept   time.Time
+	open    map[*pending]struct{}
+}
+
+// rest is since when a connection is idle, and the longest limit that was in force since:
+// a client goes by the one that it knew.
+type rest struct {
+	since time.Time
+	limit time.Duration
+}
+
+// pending is a request whose answer has yet to be begun.
+type pending struct {
+	mu    sync.Mutex
+	w     http.ResponseWriter
+	begun bool // a leaf may have been asked
+	over  bool // the answer is on its way
+}
+
+// begin is called before a leaf is asked; it must not be if the answer is given already.
+func (p *pending) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun = true
+	return !p.over
+}
+
+// take gives the right to answer to the first who wants it.
+func (p *pending) take() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.over
+	p.over = true
+	return first
 }
 
 const (
@@ -48,7 +85,7 @@
 )
 
 func newFront(o *office.Office, a *gather.Asker, objects *announce.Office, log *event.Log) *Front {
-	return &Front{office: o, asker: a, objects: objects, teller: newTeller(o), counter: newCounter(o), log: log, idle: map[net.Conn]time.Time{}}
+	return &Front{office: o, asker: a, objects: objects, teller: newTeller(o), counter: newCounter(o), log: log, idle: map[net.Conn]rest{}, open: map[*pending]struct{}{}}
 }
 
 // server makes the server of the clients' port. Every request goes to serve:
@@ -65,30 +102,84 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s == http.StateIdle {
-		f.idle[c] = time.Now()
+		f.idle[c] = rest{since: time.Now()}
 	} else {
 		delete(f.idle, c)
 	}
 }
 
-// sweep closes connections that clients leave idle for too long.
+// sweep closes connections that clients leave idle for too long. After a standstill of
+// this node it gives them a turn first: their requests may be here and not read yet.
 func (f *Front) sweep() {
 	p := f.office.Plan()
-	if p == nil || p.Limits.IdleTimeoutMs <= 0 {
+	if p == nil {
 		return
 	}
 	limit := time.Duration(p.Limits.IdleTimeoutMs) * time.Millisecond
+	if limit <= 0 {
+		limit = math.MaxInt64
+	}
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, since := range f.idle {
-		if now.Sub(since) > limit {
+	stood := now.Sub(f.swept) > 4*sweepEvery
+	f.swept = now
+	for c, r := range f.idle {
+		if r.limit < limit {
+			r.limit = limit
+			f.idle[c] = r
+		}
+		if now.Sub(r.since) > r.limit && !stood {
 			_ = c.Close()
 			delete(f.idle, c)
 		}
 	}
 }
 
+// finish answers what is open when the node must end: a connection that ends without an
+// answer leaves the client in doubt of what it was sent.
+func (f *Front) finish() {
+	f.mu.Lock()
+	open := slices.Collect(maps.Keys(f.open))
+	f.mu.Unlock()
+	for _, p := range open {
+		f.end(p)
+	}
+}
+
+func (f *Front) end(p *pending) {
+	p.mu.Lock() // until it is written: whoever handles the request waits for that
+	defer p.mu.Unlock()
+	if p.over {
+		return
+	}
+	p.over = true
+	h := p.w.Header()
+	h.Set("Connection", "close")
+	if p.begun {
+		_ = f.refuse(p.w, http.StatusBadGateway, "this node ends before the answer")
+	} else {
+		h.Set("Retry-After", "0.05")
+		_ = f.refuse(p.w, http.StatusServiceUnavailable, "this node ends")
+	}
+	_ = http.NewResponseController(p.w).Flush()
+}
+
+// admit notes a request that has been read.
+func (f *Front) admit(w http.ResponseWriter) *pending {
+	p := &pending{w: w}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[p] = struct{}{}
+	return p
+}
+
+func (f *Front) settled(p *pending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, p)
+}
+
 func (f *Front) refuse(w http.ResponseWriter, status int, why string) error {
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -102,9 +193,13 @@
 func (f *Front) serve(c echo.Context) (err error) {
 	start := time.Now()
 	w, r := c.Response().Writer, c.Request()
+	var p *pending
 	defer func() {
-		if p := recover(); p != nil {
-			f.log.Error(event.RequestPanic).Any("panic", p).Msg("a request failed inside")
+		if e := recover(); e != nil {
+			f.log.Error(event.RequestPanic).Any("panic", e).Msg("a request failed inside")
+			if p != nil && !p.take() {
+				return
+			}
 			err = f.refuse(w, http.StatusInternalServerError, "internal failure")
 		}
 	}()
@@ -134,6 +229,8 @@
 	if status != 0 {
 		return f.refuse(w, status, why)
 	}
+	p = f.admit(w)
+	defer f.settled(p)
 	delete(req.Header, trunk.HeaderTenant) // ours to say, whatever the client sent
 	if own {
 		delete(req.Header, headerCredentials)
@@ -145,6 +242,9 @@
 	if v := r.Header.Get(trunk.HeaderDeadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(ms > 0) || ms > 1e12 {
+			if !p.take() {
+				return nil
+			}
 			return f.refuse(w, http.StatusBadRequest, trunk.HeaderDeadline+" holds no time")
 		}
 		left = min(left, time.Duration(ms*float64(time.Millisecond))-sparePerHop)
@@ -152,6 +252,9 @@
 	req.Deadline = start.Add(max(left, time.Millisecond))
 	if tenant != nil {
 		if a := f.teller.admit(tenant, line.Target, left, start); !a.ok {
+			if !p.take() {
+				return nil
+			}
 			w.Header().Set("Retry-After", strconv.FormatFloat(max(a.back, time.Millisecond).Seconds(), 'f', 3, 64))
 			if a.limited {
 				return f.refuse(w, http.StatusTooManyRequests, "the tenant is at its limit")
@@ -163,14 +266,22 @@
 	if tenant != nil && f.counter != nil {
 		ran = func(at time.Time) { f.counter.ran(tenant.Name, at) }
 	}
+	if !p.begin() {
+		return nil
+	}
+	var a *gather.Reply
 	if f.objects != nil && line.RouteKind == numbering.Cacheable && r.Method == http.MethodGet {
-		a := f.object(line, req, r.Header)
+		a = f.object(line, req, r.Header)
 		if a.Status/100 == 2 {
 			ran(time.Now()) // on these routes what counts is a success
 		}
-		return f.answer(w, r.Method, a)
+	} else {
+		a = f.asker.Ask(line, req, start, ran)
+	}
+	if !p.take() {
+		return nil
 	}
-	return f.answer(w, r.Method, f.asker.Ask(line, req, start, ran))
+	return f.answer(w, r.Method, a)
 }
 
 // targetOf returns the raw target and its path.
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -158,7 +158,9 @@
 		time.Sleep(min(noticeTime, grace/2))
 		ctx, cancel := context.WithDeadline(context.Background(), end)
 		defer cancel()
-		_ = s.served.Shutdown(ctx)
+		if s.served.Shutdown(ctx) != nil {
+			s.front.finish()
+		}
 		s.Close()
 	})
 }
