--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -577,6 +577,15 @@
 			}
 		}
 		f.mesh.mu.Unlock()
+	case "silence": // silence NAMES: nobody hears them, nor they anybody, until join
+		f.mesh.mu.Lock()
+		for _, a := range f.pick(c.Word(0)) {
+			for _, b := range f.machines {
+				f.mesh.cut[[2]string{a.addr, b.addr}] = a != b
+				f.mesh.cut[[2]string{b.addr, a.addr}] = a != b
+			}
+		}
+		f.mesh.mu.Unlock()
 	case "join":
 		f.mesh.mu.Lock()
 		f.mesh.cut = map[[2]string]bool{}
@@ -716,6 +725,17 @@
 			}
 		}
 		return f.Do(scenario.Command{Verb: strings.TrimSuffix(c.Verb, "-duty"), Words: []string{strings.Join(names, ",")}})
+	case "seeds": // seeds NAMES TOLD: the seeds of the settings from now on; the machines TOLD are told at once
+		f.seeds = nil
+		for _, m := range f.pick(c.Word(0)) {
+			f.seeds = append(f.seeds, net.JoinHostPort(m.addr, controlPort))
+		}
+		for _, m := range f.pick(c.Word(1)) {
+			m.sw.Reload(f.settings(m))
+			if m.reg != nil {
+				m.reg.Reload(f.settings(m))
+			}
+		}
 	case "reset": // reset NAMES: all their connections end at once
 		for _, m := range f.pick(c.Word(0)) {
 			f.mesh.reset(m.addr)
