--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -918,22 +918,25 @@
 	return nil
 }
 
+// end stops everything.
+func (f *fleet) end() {
+	var wg sync.WaitGroup
+	for _, m := range f.machines {
+		if m.stop != nil {
+			wg.Go(m.stop)
+		}
+	}
+	wg.Wait()
+	f.mesh.down("", "")
+	f.mesh.down("10.200.0.1", "")
+	f.mesh.down("10.9.0.1", "")
+	time.Sleep(time.Minute)
+}
+
 func TestFleet(t *testing.T) {
 	scenario.Play(t, "testdata/fleet", func(t *testing.T, run func(*testing.T)) { synctest.Test(t, run) }, func(t *testing.T) scenario.World {
 		f := newFleet(t)
-		t.Cleanup(func() {
-			var wg sync.WaitGroup
-			for _, m := range f.machines {
-				if m.stop != nil {
-					wg.Go(m.stop)
-				}
-			}
-			wg.Wait()
-			f.mesh.down("", "")
-			f.mesh.down("10.200.0.1", "")
-			f.mesh.down("10.9.0.1", "")
-			time.Sleep(time.Minute)
-		})
+		t.Cleanup(f.end)
 		return f
 	})
 }
--- /dev/null
+++ b/internal/scenario/repairs_test.go
@@ -0,0 +1,112 @@
+package scenario_test
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"comethold/internal/scenario"
+)
+
+// repairs draws a day of losses: never more than two at a time, the next ones as soon as all
+// cells are whole. Disks are lost, machines killed and cut off, newcomers killed while they
+// catch up, configurations with other indexes sent meanwhile.
+func repairs(rng *rand.Rand) (lines []string) {
+	add := func(format string, a ...any) { lines = append(lines, fmt.Sprintf(format, a...)) }
+	add("losses 2")
+	add("core %s", []string{"a b c a b c", "a b c a b", "a b c d e f a"}[rng.Intn(3)])
+	n := 5 + (len(lines[1])-len("core a b c a b"))/2
+	add("switches a 1")
+	add("list l1")
+	add("indexes %d", rng.Intn(4))
+	add("begin")
+	add("run %d", 200+rng.Intn(1500))
+	add("replace 1 0 c1 within=9000")
+	add("want-whole 9000")
+	version := 1
+	p := rng.Perm(n)
+	order := func() { // to a machine that is well
+		version += 2
+		add("replace %d %d c%d within=9000", version, version-2, p[2]+1)
+	}
+	for range 5 {
+		p = rng.Perm(n)
+		a, b := fmt.Sprint("c", p[0]+1), fmt.Sprint("c", p[1]+1)
+		switch rng.Intn(6) {
+		case 0, 1: // both disks at once, right after an acknowledgement
+			order()
+			add("kill %s,%s", a, b)
+			add("wipe %s,%s", a, b)
+		case 2: // one after the other, the second while the first comes back
+			add("kill %s", a)
+			add("wipe %s", a)
+			add("run %d", rng.Intn(7000))
+			add("start %s", a)
+			add("run %d", rng.Intn(1500))
+			add("kill %s,%s", a, b)
+			add("wipe %s", []string{a, b, a + "," + b}[rng.Intn(3)])
+		case 3: // cut off for long, with an index cell founded meanwhile
+			add("cut %s,%s", a, b)
+			add("run %d", rng.Intn(9000))
+			add("indexes %d", rng.Intn(5))
+			add("join")
+			order()
+		case 4: // the mover, and one without its disk
+			add("kill %s", a)
+			add("wipe %s", a)
+			add("start %s", a)
+			add("run %d", rng.Intn(800))
+			add("kill-duty mover")
+		case 5: // back with the disk while the seat is given away
+			add("kill %s", a)
+			add("run %d", 4000+rng.Intn(2500))
+			add("indexes %d", rng.Intn(5))
+			order()
+			add("start %s", a)
+			add("run %d", rng.Intn(600))
+			add("kill %s", b)
+			add("wipe %s", b)
+		}
+		add("want-read 9000")
+		add("run %d", rng.Intn(800))
+		add("start all")
+		if rng.Intn(2) == 0 {
+			order()
+		}
+		add("want-whole 15000")
+	}
+	add("kill all")
+	add("start all")
+	add("want-read 9000")
+	return lines
+}
+
+// TestRepairs plays such days; COMETHOLD_SEEDS says how many.
+func TestRepairs(t *testing.T) {
+	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
+	if err != nil {
+		seeds = 1
+	}
+	for seed := range seeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				t.Cleanup(f.end)
+				lines := repairs(rand.New(rand.NewSource(int64(seed))))
+				for i, line := range lines {
+					c, _ := scenario.Parse(line)
+					if err := f.Do(c); err != nil {
+						t.Fatalf("%v, after\n%s", err, strings.Join(lines[:i+1], "\n"))
+					}
+				}
+				if f.newest == 0 {
+					t.Error("nothing was acknowledged")
+				}
+			})
+		})
+	}
+}
