A poller that can't reach the platform lets others go first

Cause: it released the duty after three calls that failed, and could take it back at once, again and again, while others reach the platform. Change: for ten lease times it takes it only if nobody did for half of one; a call that failed is tried again after half of the usual pause.

--- a/internal/registrar/duty.go
+++ b/internal/registrar/duty.go
@@ -26,6 +26,10 @@
 // lost must go on before the others are in touch again.
 const fencedSpread = 2
 
+// yieldFor is for how many lease times a node that could not do the work lets others go
+// first; if none of them takes it, it does so all the same.
+const yieldFor = 10
+
 // duty is a lease on work that one node does. The holder renews it through the
 // exchange cell and stops by its own steady clock, counted from before it
 // asked. Another may take it only after seeing it unrenewed for spread times as
@@ -42,6 +46,7 @@
 	seen    []byte
 	seenAt  time.Time
 	renewed time.Time
+	rest    time.Time // until then others go first: this node could not do the work
 }
 
 func newDuty(h *Host, name string, hold time.Duration, spread int) *duty {
@@ -112,11 +117,15 @@
 	mine := rec.Holder == d.host.self.ID && d.term == rec.Term && now.Before(d.until)
 	due := now.Sub(d.renewed) >= d.hold/3
 	silent := now.Sub(d.seenAt)
+	var after time.Duration // what others are given to go first
+	if now.Before(d.rest) {
+		after = d.hold / 2
+	}
 	d.mu.Unlock()
 	switch {
 	case mine && due:
 		d.take(raw, dutyRecord{Holder: rec.Holder, Term: rec.Term, Beat: rec.Beat + 1})
-	case !mine && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= d.spread*d.hold || silent >= d.hold && d.host.over(rec.Holder)):
+	case !mine && silent >= after && (rec.Holder == "" || rec.Holder == d.host.self.ID || silent >= d.spread*d.hold+after || silent >= d.hold && d.host.over(rec.Holder)):
 		// What is recorded for this very node but not held is of a former
 		// life, which is over, or has lapsed by its own clock. So is what is
 		// recorded for a member whose machine came back with another disk.
@@ -148,6 +157,14 @@
 	}
 }
 
+// yield hands the duty back and lets others try: this node can't do the work.
+func (d *duty) yield() {
+	d.mu.Lock()
+	d.rest = time.Now().Add(yieldFor * d.hold)
+	d.mu.Unlock()
+	d.release()
+}
+
 // release hands the duty back so that another need not wait.
 func (d *duty) release() {
 	if _, ok := d.held(); !ok {
--- a/internal/registrar/poll.go
+++ b/internal/registrar/poll.go
@@ -37,9 +37,10 @@
 		cancel()
 		if err != nil {
 			failures++
+			pause = every / 2
 			r.log.Warn(event.ListFailed).Err(err).Int("failures", failures).Msg("the platform's list cannot be had")
 			if failures >= 3 && !errors.Is(err, directory.ErrTooFast) {
-				r.poller.release() // another may reach the platform
+				r.poller.yield() // another may reach the platform
 				failures = 0
 			}
 			continue
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -586,6 +586,15 @@
 			}
 		}
 		f.mesh.mu.Unlock()
+	case "no-platform": // no-platform DUTY: whoever holds it is cut off from the platform alone, until join
+		m, err := f.holder(c.Word(0))
+		if err != nil {
+			return err
+		}
+		f.mesh.mu.Lock()
+		f.mesh.cut[[2]string{m.addr, "10.200.0.1"}] = true
+		f.mesh.cut[[2]string{"10.200.0.1", m.addr}] = true
+		f.mesh.mu.Unlock()
 	case "join":
 		f.mesh.mu.Lock()
 		f.mesh.cut = map[[2]string]bool{}
