--- a/internal/cell/chaos_test.go
+++ b/internal/cell/chaos_test.go
@@ -374,9 +374,7 @@
 }
 
 func TestChaos(t *testing.T) {
-	for seed := range seedsOr(60) {
-		playChaos(t, seed)
-	}
+	playSeeds(t, 60, func(t *testing.T, seed int64) { playChaos(t, seed) })
 }
 
 // TestChaosAgain: what a seed draws is the same every time, to the message.
--- a/internal/cell/worst_test.go
+++ b/internal/cell/worst_test.go
@@ -3,11 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
+
+	"comethold/internal/scenario"
 )
 
 // The worst days: what operators met on the control side, drawn together from a seed.
@@ -15,12 +16,18 @@
 // twenty seconds with orders on both sides, losses strike at the moment at which a seat
 // passes or a repair is done, and a member comes back after hundreds of changes.
 
-// seedsOr is how many seeds a test plays: COMETHOLD_SEEDS for a long run.
-func seedsOr(usual int64) int64 {
-	if n, err := strconv.ParseInt(os.Getenv("COMETHOLD_SEEDS"), 10, 64); err == nil {
-		return n
+// playSeeds plays a few seeds, or as many as COMETHOLD_SEEDS says, several at once.
+func playSeeds(t *testing.T, few int, play func(t *testing.T, seed int64)) {
+	const parts = 8
+	n := int64(scenario.Seeds(few))
+	for part := range int64(parts) {
+		t.Run(strconv.FormatInt(part, 10), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < n; seed += parts {
+				play(t, seed)
+			}
+		})
 	}
-	return usual
 }
 
 // kill ends a process. What hangs on its disk is not written.
@@ -262,15 +269,4 @@
 	c.check()
 }
 
-func TestWorstDays(t *testing.T) {
-	const parts = 8
-	n := seedsOr(40)
-	for part := range int64(parts) {
-		t.Run(strconv.FormatInt(part, 10), func(t *testing.T) {
-			t.Parallel()
-			for seed := part; seed < n; seed += parts {
-				playWorst(t, seed)
-			}
-		})
-	}
-}
+func TestWorstDays(t *testing.T) { playSeeds(t, 40, playWorst) }
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -1119,11 +1119,7 @@
 // once, while changes go on; what was acknowledged is there in the end, and everybody has
 // it. COMETHOLD_SEEDS says how many draws.
 func TestDisks(t *testing.T) {
-	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
-	if err != nil {
-		seeds = 1
-	}
-	for seed := range seeds {
+	for seed := range scenario.Seeds(1) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/scenario/operators_test.go
+++ b/internal/scenario/operators_test.go
@@ -201,12 +201,8 @@
 
 // TestFleetChaos draws troubles and orders from seeds, COMETHOLD_SEEDS of them.
 func TestFleetChaos(t *testing.T) {
-	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
-	if err != nil {
-		seeds = 1
-	}
 	first, _ := strconv.Atoi(os.Getenv("COMETHOLD_FIRST_SEED"))
-	for seed := first; seed < first+seeds; seed++ {
+	for seed := first; seed < first+scenario.Seeds(1); seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
 			var f *fleet
--- a/internal/scenario/repairs_test.go
+++ b/internal/scenario/repairs_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -87,11 +86,7 @@
 
 // TestRepairs plays such days; COMETHOLD_SEEDS says how many.
 func TestRepairs(t *testing.T) {
-	seeds, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS"))
-	if err != nil {
-		seeds = 1
-	}
-	for seed := range seeds {
+	for seed := range scenario.Seeds(1) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t)
--- a/internal/vault/names_test.go
+++ b/internal/vault/names_test.go
@@ -18,14 +18,6 @@
 	bolt "go.etcd.io/bbolt"
 )
 
-// seeds is how many draws a test makes: few, or as many as COMETHOLD_SEEDS says.
-func seeds(few int) int {
-	if n, err := strconv.Atoi(os.Getenv("COMETHOLD_SEEDS")); err == nil && n > 0 {
-		return n
-	}
-	return few
-}
-
 // TestNames: the power fails at any step from opening on, and of the names that were
 // not synced each is kept or lost. A name that was told, and what was promised under it,
 // is found again, whatever stood in the folder at first.
@@ -55,7 +47,7 @@
 		"whole and other":  {fileName: old, newName: old, damagedName: nil},
 	}
 	for what, files := range begin {
-		for seed := range seeds(1) {
+		for seed := range scenario.Seeds(1) {
 			for stop := 1; stop <= 11; stop++ {
 				dir := t.TempDir()
 				for name, raw := range files {
