--- a/internal/registrar/quota.go
+++ b/internal/registrar/quota.go
@@ -42,10 +42,18 @@
 	at      uint64 // the version whose tenants are in force
 	limited bool   // some of them have limits
 	nextID  uint64
-	asked   map[uint64]chan quota.Part
+	asked   map[uint64]loan
 	empty   map[lender]time.Time // who had nothing for a tenant a moment ago
 }
 
+// loan is a question to a lender. Who asked has gone on once got is nil: what is lent
+// until then still fills the own slice.
+type loan struct {
+	tenant string
+	until  time.Time
+	got    chan quota.Part
+}
+
 type lender struct{ addr, tenant string }
 
 func newQuotas(rules quota.Rules, saved []byte) *quotas {
@@ -53,7 +61,7 @@
 	if saved != nil && wire.Unmarshal(saved, &left) != nil {
 		left = nil
 	}
-	return &quotas{rules: rules, bank: quota.NewBank(), left: left, wake: make(chan struct{}, 1), nextID: rand.Uint64(), asked: map[uint64]chan quota.Part{}, empty: map[lender]time.Time{}}
+	return &quotas{rules: rules, bank: quota.NewBank(), left: left, wake: make(chan struct{}, 1), nextID: rand.Uint64(), asked: map[uint64]loan{}, empty: map[lender]time.Time{}}
 }
 
 // setTenants takes the tenants of a configuration that is in force.
@@ -267,7 +275,7 @@
 }
 
 // borrow asks the others for what is missing of a tenant's tokens. What they lend
-// beyond that fills this registrar's own slice; the rest is lost.
+// beyond that fills this registrar's own slice, as far as it has room.
 func (r *Registrar) borrow(w quota.Want, p *quota.Part, groups [2][]string) {
 	q := r.quotas
 	missing := float64(w.Need - p.Granted)
@@ -290,12 +298,17 @@
 	now := time.Now()
 	sent := map[uint64]string{}
 	q.mu.Lock()
+	for id, l := range q.asked {
+		if now.After(l.until) {
+			delete(q.asked, id)
+		}
+	}
 	for _, a := range addrs {
 		if now.Before(q.empty[lender{a, tenant}]) {
 			continue
 		}
 		q.nextID++
-		q.asked[q.nextID] = ch
+		q.asked[q.nextID] = loan{tenant, now.Add(lendFar), ch}
 		sent[q.nextID] = a
 	}
 	q.mu.Unlock()
@@ -316,11 +329,22 @@
 			break wait
 		}
 	}
-	// Those that have not answered yet are not waited for; what they lend is lost.
+	// Those that have not answered yet are not waited for.
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for id := range sent {
-		delete(q.asked, id)
+		if l, ok := q.asked[id]; ok {
+			l.got = nil
+			q.asked[id] = l
+		}
+	}
+	for more := true; more; { // what came in meanwhile
+		select {
+		case p := <-ch:
+			got += float64(p.Milli) / 1000
+		default:
+			more = false
+		}
 	}
 	if got < x {
 		for _, a := range sent {
@@ -334,11 +358,19 @@
 }
 
 func (q *quotas) hear(g *quota.Grant) {
+	if len(g.Parts) != 1 {
+		return
+	}
+	now, p := time.Now(), g.Parts[0]
 	q.mu.Lock()
-	ch := q.asked[g.ID]
+	defer q.mu.Unlock()
+	l, ok := q.asked[g.ID]
 	delete(q.asked, g.ID)
-	q.mu.Unlock()
-	if ch != nil && len(g.Parts) == 1 {
-		ch <- g.Parts[0]
+	switch {
+	case !ok || now.After(l.until): // too late to count on
+	case l.got != nil:
+		l.got <- p // it has room for all that were asked
+	default:
+		q.bank.Put(l.tenant, float64(p.Milli)/1000, now)
 	}
 }
