Cell: a proposer confirms reads once those who vote next have promised

Cause: a new proposer counted as current once it had applied what it had adopted. After a change of seats the next position may belong to another majority than the one that elected it; its members answer beats before they have promised, and may hold acknowledged positions.

Change: Read and Fresh ask besides that a majority of those who vote on the next position has promised (caughtUp).

Before: TestReadAfterSeats: a read is confirmed at 3 though 4 was acknowledged, the proposer takes itself to be 100 ms old, a follower 301 ms.

--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -213,7 +213,7 @@
 // had. What arrives late, after a cut or a standstill, proves nothing newer.
 func (m *Member) Fresh(now time.Duration) time.Duration {
 	switch {
-	case m.role == Leading && m.applied < m.maxAdopt(), m.leader == "",
+	case m.role == Leading && !m.caughtUp(), m.leader == "",
 		m.role != Leading && m.current == 0: // started, and not current even once
 		return never
 	case m.role == Leading:
--- a/internal/cell/proposer.go
+++ b/internal/cell/proposer.go
@@ -85,14 +85,22 @@
 	if m.role != Leading || m.next == 0 {
 		return ErrNotProposer
 	}
-	if len(m.adopt) > 0 && m.applied < m.maxAdopt() {
-		return ErrBusy // what an earlier proposer chose is not all applied yet
+	if !m.caughtUp() {
+		return ErrBusy
 	}
 	m.beat(now)
 	m.reads[m.seq] = append(m.reads[m.seq], ticket)
 	return nil
 }
 
+// caughtUp reports whether a proposer has applied all that earlier ones had chosen: what it
+// has adopted, and after that nothing else can be chosen, since a majority of those who vote
+// on the next position has promised. After a change of seats that may be another majority
+// than the one that elected it.
+func (m *Member) caughtUp() bool {
+	return m.applied >= m.maxAdopt() && majority(m.st.at(m.applied+1), func(id MemberID) bool { return m.promises[id] })
+}
+
 // settle brings a change of seats to its end: positions without content follow until the
 // new membership is in effect and a majority of it is known to hold all that came before.
 func (m *Member) settle(now time.Duration, due bool) {
--- a/internal/cell/taught_test.go
+++ b/internal/cell/taught_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -103,3 +104,73 @@
 		t.Error("replaced, it still leads")
 	}
 }
+
+// TestReadAfterSeats: a new proposer that was elected by those who vote on the next
+// positions has not asked those who vote after a change of seats. Until a majority of these
+// has promised, the others may hold what was acknowledged.
+func TestReadAfterSeats(t *testing.T) {
+	seats := func(ids ...MemberID) (out []Seat) {
+		for _, id := range ids {
+			out = append(out, Seat{ID: id, Addr: string(id)})
+		}
+		return out
+	}
+	old := Ballot{Round: 1, By: "b"}
+	entries := []Entry{{Slot: 1, Ballot: old, Txns: []Txn{{Ops: []Op{{Kind: OpSeats, Seats: seats("b", "c", "d", "e", "f")}}}}},
+		{Slot: 2, Ballot: old}, {Slot: 3, Ballot: old}, {Slot: 4, Ballot: old, Txns: []Txn{{Ops: []Op{{Kind: OpPut, Key: "k", Value: Int(7)}}}}}}
+	members := map[MemberID]*Member{}
+	ids := []MemberID{"a", "c", "d", "e", "f"}
+	for _, id := range ids { // b led, and c and f have what it acknowledged
+		sv := Saved{Promised: old, Snap: &Snapshot{State: map[string]Value{}, Memberships: []Membership{{From: 1, Seats: seats("a", "b", "c", "d", "e")}}}}
+		switch id {
+		case "c", "f":
+			sv.Entries, sv.Chosen = entries, 3
+		case "d":
+			sv.Entries = entries[:3]
+		}
+		members[id] = New(Params{Cell: "c", Self: id, Alpha: 3, MaxQueue: 8, MaxBatch: 4, KeepLog: 16,
+			Beat: 100 * time.Millisecond, Patience: 400 * time.Millisecond, Jitter: func() float64 { return 0.5 }}, sv, 0)
+	}
+	d, now := members["d"], time.Duration(0)
+	d.deadline = 0
+	var reads []uint64
+	// play lets time pass; prepares to those named are lost.
+	play := func(lost ...MemberID) {
+		for range 40 {
+			var all []Message
+			for _, id := range ids {
+				if id == "d" {
+					d.Tick(now)
+				}
+				out := members[id].Take()
+				reads = append(reads, out.Reads...)
+				all = append(all, append(out.Send, out.SendSynced...)...)
+			}
+			for _, msg := range all {
+				if m := members[msg.To]; m != nil && !(msg.Kind == Prepare && slices.Contains(lost, msg.To)) {
+					m.Step(now, msg)
+				}
+			}
+			now += 10 * time.Millisecond
+		}
+	}
+	play("c", "f")
+	if d.Role() != Leading || d.Applied() != 3 {
+		t.Fatalf("it is %v and has applied %d", d.Role(), d.Applied())
+	}
+	err := d.Read(now, 1)
+	if play("c", "f"); err == nil && len(reads) > 0 {
+		t.Errorf("a read was confirmed at %d, though 4 was acknowledged", d.Applied())
+	}
+	for _, id := range []MemberID{"d", "e"} {
+		if f := members[id].Fresh(now); f < time.Hour {
+			t.Errorf("%s takes itself to be %v old at %d, though 4 was acknowledged", id, f, members[id].Applied())
+		}
+	}
+	play()
+	err = d.Read(now, 2)
+	play()
+	if k, _ := d.Get("k"); err != nil || !slices.Contains(reads, 2) || !k.Equal(Int(7)) {
+		t.Errorf("a read at %d: %v, confirmed %v, %v", d.Applied(), err, reads, k)
+	}
+}
