Cell: a member tells of its disk what a restart finds there

Cause: how far positions are chosen is written only along with something else; a member that heard of it by a beat told the proposer before it was on the disk (Accepted to a doubled message, Held). Moves of seats, and when they are done, are judged by that.

Change: Accepted and Held tell at most what these writes and those before note. A newcomer that would lag by more than the pipeline in a quiet cell has it noted by itself.

--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -39,6 +39,7 @@
 	log      map[uint64]*Entry
 	base     uint64 // positions up to here have been compacted away
 	applied  uint64
+	noted    uint64 // a restart finds what was chosen up to here, once all Writes are synced
 	logBytes int
 
 	role     Role
@@ -103,6 +104,7 @@
 	for m.applied < s.Chosen && m.log[m.applied+1] != nil && m.st.founded() {
 		m.applyNext()
 	}
+	m.noted = m.applied
 	m.listen(now)
 	// After a start nobody may lead: ask soon. Members that hear a proposer
 	// turn us down, and we have promised nothing yet.
@@ -135,10 +137,19 @@
 	m.logBytes += entrySize(&c)
 }
 
-// Take hands over what the member wants done since the last call.
+// Take hands over what the member wants done since the last call. What a member says that
+// its disk holds is what these Writes, and those before, note as chosen there.
 func (m *Member) Take() Output {
 	o := m.out
 	o.Writes.Chosen, o.Touched = m.applied, m.st.touched
+	if !o.Writes.Empty() {
+		m.noted = m.applied
+	}
+	for i := range o.SendSynced {
+		if msg := &o.SendSynced[i]; msg.Kind == Accepted || msg.Kind == Held {
+			msg.Chosen = min(msg.Chosen, m.noted)
+		}
+	}
 	m.out, m.st.touched = Output{}, Touched{}
 	return o
 }
@@ -467,6 +478,9 @@
 	m.catchUp(now, msg.Ballot, msg.Chosen)
 	m.send(Message{Kind: BeatAck, To: msg.From, Ballot: msg.Ballot, Seq: msg.Seq, Echo: m.stamp(now)})
 	if !m.Voter() { // a seat is given on the strength of what a newcomer holds on disk
+		if m.noted+m.p.Alpha < m.applied { // in a quiet cell nothing more may come that is written
+			m.out.Writes.Note = true
+		}
 		m.sendSynced(Message{Kind: Held, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied})
 	}
 }
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -345,10 +345,44 @@
 				}
 			}
 			s.fresh()
+			s.held()
 		}
 	}
 }
 
+// held checks that what a proposer was told of a member's disk is there: a restart would
+// find at least so many positions, and know them to be chosen.
+func (s *sim) held() {
+	for _, name := range s.names() {
+		l := s.nodes[name]
+		if !l.up || l.m.Role() != Leading {
+			continue
+		}
+		for id, upTo := range l.m.learnt {
+			n := s.byID(id)
+			if n == nil {
+				continue // its disk was lost
+			}
+			if found := n.disk.found(); found < upTo {
+				s.t.Fatalf("%s at %v: %s was told that %s holds %d, a restart would find %d", s.name, s.now, l.id, id, upTo, found)
+			}
+		}
+	}
+}
+
+// found is the position up to which a restart would apply what is on the disk.
+func (d *disk) found() (slot uint64) {
+	if d.saved.Snap != nil {
+		slot = d.saved.Snap.Applied
+	}
+	for ; slot < d.saved.Chosen; slot++ {
+		if _, ok := d.log[slot+1]; !ok {
+			break
+		}
+	}
+	return slot
+}
+
 // names are the machines in order; callers must not change the list.
 func (s *sim) names() []string {
 	if len(s.sorted) != len(s.nodes) {
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -181,11 +181,13 @@
 	Entries []Entry
 	Snap    *Snapshot
 	DropTo  uint64
+	// Note: Chosen is worth a write of its own.
+	Note bool
 }
 
 // Empty reports whether there is nothing to sync.
 func (w *Writes) Empty() bool {
-	return w.Promised == nil && w.Round == 0 && len(w.Entries) == 0 && w.Snap == nil
+	return w.Promised == nil && w.Round == 0 && len(w.Entries) == 0 && w.Snap == nil && !w.Note
 }
 
 // Saved is what a member finds on its disk when it starts.
