Tests: whoever was away for hundreds of changes is made to lead at once

Cause: no test had a member that missed 300 changes and more, came back under load, and then had to lead as one of the only majority that is left.

Change: TestAway: two others go right after, the proposer among them, with their disks or without; messages are lost and late. Orders and reads are checked by porcupine, agreement and what was acknowledged as in every run.

--- a/internal/cell/worst_test.go
+++ b/internal/cell/worst_test.go
@@ -270,3 +270,88 @@
 }
 
 func TestWorstDays(t *testing.T) { playSeeds(t, 40, playWorst) }
+
+// away: a seat misses hundreds of changes and comes back under load; soon after, the
+// proposer and the seat that knows most besides go, with their disks or without, so that
+// the one that was away belongs to the only majority, and it is made to lead.
+func (c *chaos) away() (led bool) {
+	l := c.leader()
+	seats, _ := l.m.Seats()
+	to := l.m.Applied() + 300 + uint64(c.rng.Intn(100))
+	c.rng.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
+	late := machineOf(seats[0].ID)
+	c.kill(c.nodes[late])
+	for range 20000 {
+		l := c.leader()
+		if l != nil && l.m.Applied() >= to {
+			break
+		}
+		if l != nil && c.status[fmt.Sprintf("o%d", c.wanted)] != "pending" {
+			c.order(l)
+		} else if l != nil {
+			c.propose(l, "fill", Txn{Ops: []Op{{Kind: OpPut, Key: "fill", Value: Bytes([]byte{byte(c.rng.Intn(256))})}}})
+		}
+		c.run(time.Duration(3+c.rng.Intn(10)) * time.Millisecond)
+	}
+	c.late, c.loss = 0.1*c.rng.Float64(), 0.4*c.rng.Float64()
+	c.startAll()
+	c.traffic(time.Duration(c.rng.Intn(1+c.rng.Intn(120))) * time.Millisecond)
+	var others []string
+	for _, x := range seats[1:] {
+		others = append(others, machineOf(x.ID))
+	}
+	lead := c.leading(late)
+	know := func(name string) int {
+		if name == lead {
+			return 1 << 30
+		}
+		return int(c.nodes[name].m.Applied())
+	}
+	slices.SortStableFunc(others, func(a, b string) int { return know(b) - know(a) })
+	for _, name := range others[:2] {
+		if c.rng.Intn(2) == 0 {
+			c.unsend(c.nodes[name].id)
+			c.wipe(name)
+		} else {
+			c.kill(c.nodes[name])
+		}
+	}
+	for range 20 {
+		for _, name := range others[2:] { // one that was quicker starts anew
+			if n := c.nodes[name]; n.m.Role() == Leading {
+				c.kill(n)
+				c.start(n)
+				c.learners()
+			}
+		}
+		if c.elect(late); c.nodes[late].m.Role() == Leading {
+			led = true
+			break
+		}
+		c.run(100 * time.Millisecond)
+	}
+	c.loss = 0.03
+	c.traffic(500 * time.Millisecond)
+	c.acknowledged()
+	c.late = 0
+	c.startAll()
+	c.whole()
+	return led
+}
+
+// TestAway: what was acknowledged stays, and reads are linearizable, whoever was away.
+func TestAway(t *testing.T) {
+	playSeeds(t, 52, func(t *testing.T, seed int64) {
+		c := newChaos(t, fmt.Sprintf("away %d", seed), seed)
+		led := 0
+		for range 3 {
+			if c.away() {
+				led++
+			}
+		}
+		if led == 0 {
+			t.Errorf("%s: whoever was away never came to lead", c.name)
+		}
+		c.check()
+	})
+}
