Orders wait for seats until the exchange cell is at rest

Cause: that an order waits while the exchange cell has fewer seats than it must have was bounded by the age of the process (5 s). Founders that were cut off for longer give no seat before they are back; the first order was then confirmed by three seats, and the loss of the disks of the two that had been cut off lost it. The look came before the wait for a proposer, and where no machine was left over it did not wait for the last change of seats to be done. Change: orders wait as long as a registrar is there without a seat, until the cell was at rest for 3 s (one proposer, same seats, nobody who came, a majority in touch), looked at before each try; and after the last seat until its change is done.

--- a/internal/registrar/host.go
+++ b/internal/registrar/host.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	mrand "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 	learnerSpan   = 10 * time.Second // a registrar unheard for longer is not kept current
 	standstill    = time.Second      // a pause between ticks after which silence proves nothing
 	settleFirst   = time.Second      // of a cell, before its seats move
+	candidateSpan = 3 * time.Second  // a registrar unheard for longer is given no seat
 	senders       = 3
 	longestPause  = 300 * time.Millisecond
 	noLeaderPause = 60 * time.Millisecond
@@ -83,6 +85,14 @@
 	tickedAt time.Duration
 	wokeAt   time.Duration // this node stood still until then and heard nobody
 	openedAt map[string]time.Duration
+
+	// Of the exchange cell: who led and who had seats at the last look, and when either
+	// was another last, or a registrar came, or the majority was out of touch; and when
+	// it got a further seat.
+	leader    cell.MemberID
+	seats     []cell.Seat
+	stirredAt time.Duration
+	grewAt    time.Duration
 }
 
 // NewHost opens the node's cells from its vault.
@@ -218,6 +228,7 @@
 		m.Tick(now)
 		h.drain(name, m)
 	}
+	h.lookCalm(now)
 	every := helloEvery
 	if ex := h.cells[ExchangeCell]; ex != nil && ex.Voter() && ex.Leader() != "" {
 		every = 2 * helloEvery
@@ -231,6 +242,21 @@
 	}
 }
 
+// lookCalm notes when the exchange cell was not at rest, as far as this node knows.
+func (h *Host) lookCalm(now time.Duration) {
+	m := h.cells[ExchangeCell]
+	if m == nil {
+		return
+	}
+	seats, _ := m.Seats()
+	if m.Leader() == "" || m.Leader() != h.leader || m.Fresh(now) > staleFrom || !slices.Equal(seats, h.seats) {
+		if len(seats) > len(h.seats) {
+			h.grewAt = now
+		}
+		h.leader, h.seats, h.stirredAt = m.Leader(), slices.Clone(seats), now
+	}
+}
+
 // seated reports whether this node votes in the exchange cell: only those who
 // do hear every registrar.
 func (h *Host) seated() (yes bool) {
--- a/internal/registrar/move.go
+++ b/internal/registrar/move.go
@@ -165,7 +165,7 @@
 	want := seatsFor(r.set.Tolerance.MachineLosses)
 	r.host.ask(func() {
 		now := r.host.now()
-		live := r.host.live(3 * time.Second)
+		live := r.host.live(candidateSpan)
 		silent := func(addr string) bool { return r.host.unheard(addr) > seatSilence }
 		for name, m := range r.host.cells {
 			seats, settled := m.Seats()
--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -28,6 +28,7 @@
 	baseHeader    = "X-Comethold-Base-Version"
 	greetTime     = time.Second     // in which registrars that start together have met
 	growTime      = 5 * time.Second // in which a new cell should have its seats
+	calmTime      = 3 * time.Second // in which a calm cell seats whoever can have a seat
 )
 
 type refusal struct {
@@ -144,10 +145,10 @@
 // this call or an earlier one, is acknowledged.
 func (r *Registrar) take(ctx context.Context, o *order) (int, string) {
 	sum := notice.Digest(o.raw)
-	if r.growing() {
-		return http.StatusServiceUnavailable, "the control plane is still being founded"
-	}
 	for try := range 3 {
+		if r.growing() {
+			return http.StatusServiceUnavailable, "the control plane is still being founded"
+		}
 		var t cell.Txn
 		var current uint64
 		var replay notice.Replay
@@ -220,21 +221,32 @@
 	return seen.Load()
 }
 
-// growing reports whether this node started a moment ago and the exchange cell has yet to
-// seat the registrars that make it bear the losses that it must bear: what it acknowledges
-// before could be gone with fewer disks. The node may have started anew since the founding.
+// growing reports whether the exchange cell has yet to seat the registrars that make it
+// bear the losses that it must bear, and will: what it acknowledges before could be gone
+// with fewer disks. It will while this node started a moment ago, and while a registrar is
+// there that has no seat, until the cell has been at rest for calmTime: then that one can't
+// have a seat, as with a disk in trouble, and orders can't wait for it for ever.
 func (r *Registrar) growing() (yes bool) {
-	live := len(r.host.live(learnerSpan))
+	live := r.host.live(learnerSpan)
 	want := seatsFor(r.set.Tolerance.MachineLosses)
 	r.host.ask(func() {
 		m := r.host.cells[ExchangeCell]
 		if m == nil {
 			return
 		}
-		age := r.host.now() - r.host.openedAt[ExchangeCell]
+		now := r.host.now()
+		r.host.lookCalm(now)
+		age := now - r.host.openedAt[ExchangeCell]
 		seats, settled := m.Seats()
-		short := len(seats) < want || !settled && len(seats) == want
-		yes = short && (age < greetTime || live > len(seats) && age < growTime)
+		for _, s := range seats {
+			delete(live, s.Addr)
+		}
+		switch {
+		case len(seats) < want:
+			yes = age < greetTime || len(live) > 0 && (age < growTime || now-r.host.stirredAt < calmTime)
+		case len(seats) == want && !settled: // the last of them may not hold it yet
+			yes = age < growTime || now-r.host.grewAt < growTime
+		}
 	})
 	return yes
 }
--- a/internal/registrar/peers.go
+++ b/internal/registrar/peers.go
@@ -349,6 +349,9 @@
 		if p.hello.ID != "" && fresh {
 			h.former[p.hello.ID] = true
 		}
+		if fresh || now-p.heard > candidateSpan {
+			h.stirredAt = now
+		}
 		p.hello, p.heard = b.Hello, now
 		h.peersMu.Unlock()
 		if fresh {
