Founders that come late and alone; the fleet's chaos draws foundings, disks, links, power

Cause: an order that waits for a proposer at a founder that was cut off passed, as that node knows of no registrar without a seat. TestFleetChaos drew neither troubles at the founding nor power, disks in trouble, slow or lossy links, resets, eight orders at once, a strike right after an acknowledgement, nor a closing fault; it did not look at the switches. Change: orders wait for the cell's rest whoever is known. The chaos draws all that, and checks that no switch goes back within one life, and that in touch all have the newest after 3 s.

--- a/internal/registrar/orders.go
+++ b/internal/registrar/orders.go
@@ -223,9 +223,9 @@
 
 // growing reports whether the exchange cell has yet to seat the registrars that make it
 // bear the losses that it must bear, and will: what it acknowledges before could be gone
-// with fewer disks. It will while this node started a moment ago, and while a registrar is
-// there that has no seat, until the cell has been at rest for calmTime: then that one can't
-// have a seat, as with a disk in trouble, and orders can't wait for it for ever.
+// with fewer disks. It will while this node started a moment ago, and until the cell has been
+// at rest for calmTime: a registrar without a seat that is there by then can't have one, as
+// with a disk in trouble, and orders can't wait for it for ever.
 func (r *Registrar) growing() (yes bool) {
 	live := r.host.live(learnerSpan)
 	want := seatsFor(r.set.Tolerance.MachineLosses)
@@ -243,7 +243,7 @@
 		}
 		switch {
 		case len(seats) < want:
-			yes = age < greetTime || len(live) > 0 && (age < growTime || now-r.host.stirredAt < calmTime)
+			yes = age < greetTime || now-r.host.stirredAt < calmTime || len(live) > 0 && age < growTime
 		case len(seats) == want && !settled: // the last of them may not hold it yet
 			yes = age < growTime || now-r.host.grewAt < growTime
 		}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -627,7 +627,11 @@
 		f.mesh.cut[[2]string{m.addr, "10.200.0.1"}] = true
 		f.mesh.cut[[2]string{"10.200.0.1", m.addr}] = true
 		f.mesh.mu.Unlock()
-	case "join":
+	case "join": // join [after=MS]
+		if ms := c.Number("after", 0); ms > 0 {
+			time.AfterFunc(time.Duration(ms)*time.Millisecond, f.join)
+			break
+		}
 		f.join()
 	case "lossy":
 		f.mesh.mu.Lock()
--- a/internal/scenario/operators_test.go
+++ b/internal/scenario/operators_test.go
@@ -19,6 +19,7 @@
 
 	"comethold/internal/scenario"
 	"comethold/internal/settings"
+	"comethold/internal/switchboard"
 	"comethold/internal/wire"
 )
 
@@ -224,6 +225,27 @@
 	}
 }
 
+// pass lets time go by, until the next acknowledgement if strike, and checks that no switch
+// goes back to an older configuration within one life.
+func (f *fleet) pass(span time.Duration, strike bool, lives map[*switchboard.Switch]uint64) {
+	acks := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.acked)
+	}
+	had := acks()
+	for end := time.Now().Add(span); time.Now().Before(end) && !(strike && acks() > had); time.Sleep(20 * time.Millisecond) {
+		for _, m := range f.machines {
+			if v := f.versionAt(m); m.sw != nil {
+				if v < lives[m.sw] {
+					f.t.Errorf("%s goes back from %d to %d", m.name, lives[m.sw], v)
+				}
+				lives[m.sw] = v
+			}
+		}
+	}
+}
+
 // chaos plays what it draws, and prints it if the run fails.
 func (f *fleet) chaos(rng *rand.Rand) {
 	var lines []string
@@ -240,53 +262,146 @@
 			f.t.Log(strings.Join(lines, "\n"))
 		}
 	}()
+	lives := map[*switchboard.Switch]uint64{}
+	run := func(ms int) {
+		lines = append(lines, fmt.Sprintf("run %d", ms))
+		f.pass(time.Duration(ms)*time.Millisecond, false, lives)
+	}
+	strike := func(ms int) { // right after an acknowledgement
+		from := time.Now()
+		f.pass(time.Duration(ms)*time.Millisecond, true, lives)
+		lines = append(lines, fmt.Sprintf("run %d", time.Since(from).Milliseconds()))
+		run(rng.Intn(30))
+	}
+	heal := func() {
+		do("join")
+		do("lossy 0")
+		do("slow core 0")
+		do("disk c1,c2,c3,c4,c5,c6 ok")
+		do("start all")
+	}
+	one := func(of ...string) string { return of[rng.Intn(len(of))] }
 	do("losses 2")
 	do("core a b c a b c")
+	at := f.sorted()
+	do("switches a 1")
 	do("list l1")
+	founding, early := rng.Intn(3), "c1,c2,c3"
+	if founding == 0 {
+		early = one("c1,c2", "c2,c3", "c1,c4", "c2,c5")
+		for _, n := range strings.Split(early, ",") {
+			do("%s %s", one("cut", "cut", "mute", "deaf"), n)
+		}
+	}
 	do("begin")
-	do("run 3000")
 	var wg sync.WaitGroup
-	end := time.Now().Add(25 * time.Second)
+	end := time.Now().Add(28 * time.Second)
 	for i := range 2 {
-		o := &operator{f: f, at: f.sorted(), rng: rand.New(rand.NewSource(rng.Int63())), name: "o" + strconv.Itoa(i), gap: 600}
+		o := &operator{f: f, at: at, rng: rand.New(rand.NewSource(rng.Int63())), name: "o" + strconv.Itoa(i), gap: 600}
 		wg.Go(func() { o.work(end) })
 	}
 	// Disks are lost only where no others were within the time in which seats pass on.
 	wiped := time.Now()
+	switch founding {
+	case 0:
+		run(rng.Intn(8000))
+		do("join")
+		strike(9000)
+		if rng.Intn(2) == 0 {
+			do("%s", one("kill all", "power all"))
+			do("wipe %s", early)
+			do("start all")
+			run(12000)
+			wiped = time.Now()
+		}
+	case 1:
+		run(rng.Intn(2000))
+		do("roll %s gap=%d", early, rng.Intn(300))
+	default:
+		run(3000)
+	}
 	for time.Now().Before(end) {
-		do("run %d", 300+rng.Intn(2500))
+		run(300 + rng.Intn(2500))
+		if rng.Intn(3) == 0 {
+			strike(1500)
+		}
 		names := []string{"c1", "c2", "c3", "c4", "c5", "c6"}
 		rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 		some := strings.Join(names[:1+rng.Intn(2)], ",")
-		switch k := rng.Intn(10); {
+		switch k := rng.Intn(16); {
 		case k < 2:
-			do("%s %s", []string{"cut", "mute", "deaf"}[rng.Intn(3)], some)
+			do("%s %s", one("cut", "mute", "deaf", "silence"), some)
 		case k < 4:
-			do("%s %s", []string{"cut", "mute", "deaf"}[rng.Intn(3)], strings.Join(names[:3], ","))
+			do("%s %s", one("cut", "mute", "deaf"), strings.Join(names[:3], ","))
 		case k < 6:
 			do("join")
 		case k < 7:
-			do("kill %s", some)
-			do("run %d", rng.Intn(3000))
+			do("%s %s", one("kill", "power"), some)
+			run(rng.Intn(3000))
 			do("start %s", some)
 		case k < 8:
-			do("kill all")
-			do("run %d", rng.Intn(500))
+			do("%s all", one("kill", "power"))
+			run(rng.Intn(500))
 			do("start all")
 		case k < 9:
-			do("lose %s", []string{some, "all", "none"}[rng.Intn(3)])
+			do("lose %s", one(some, "core", "none"))
+		case k < 10:
+			do("disk %s %s", some, one("full", "hangs", "ok"))
+		case k < 11:
+			do("slow %s %d", some, 100+rng.Intn(2000))
+		case k < 12:
+			do("lossy 0.%02d", rng.Intn(15))
+		case k < 13:
+			do("reset %s", one(some, "core"))
+		case k < 14: // eight orders at once
+			do("operators 6 c1,c2,c3,c4,c5,c6 400 gap=100 seed=%d", rng.Intn(1000))
+		case k < 15:
+			heal()
+			do("lose none")
+			run(5000) // in touch by now
+			do("want-order %s 5000", names[0])
+			f.mu.Lock()
+			newest := f.newest
+			f.mu.Unlock()
+			for from := time.Now(); ; run(20) {
+				late := ""
+				for _, m := range f.machines {
+					if f.versionAt(m) < newest {
+						late = m.name
+					}
+				}
+				if late == "" {
+					break
+				}
+				if time.Since(from) > 3*time.Second {
+					f.t.Errorf("%s stays with %d, not %d", late, f.versionAt(f.machines[late]), newest)
+					break
+				}
+			}
 		case time.Since(wiped) > 12*time.Second:
-			do("join")
-			do("kill %s", some)
+			heal()
+			do("kill %s", one(some, "all"))
 			do("wipe %s", some)
-			do("start %s", some)
-			do("run 12000") // and the seats pass on
+			do("start all")
+			run(12000) // and the seats pass on
 			wiped = time.Now()
 		}
 	}
 	wg.Wait()
-	do("join")
+	if time.Since(wiped) > 12*time.Second { // the closing fault
+		heal()
+		run(4000)
+		do("lose none")
+		do("want-order c%d 8000", 1+rng.Intn(6))
+		do("%s", one("kill all", "power all"))
+		do("wipe %s", one("c1,c2", "c3", "c4,c5", "c2,c6", "c1,c5"))
+		do("start all")
+	}
+	heal()
 	do("lose none")
-	do("run 3000")
-	do("want-order all 15000")
+	run(3000)
+	do("want-order c1,c2,c3,c4,c5,c6 15000")
+	do("want-read 2000")
+	do("want-config %d 3000", f.newest)
+	run(0)
 }
