Front: nothing is begun after the end; rests go by the limit that clients know

Cause: a request whose last byte came between the answers to all that was open and the end of the process was passed on and cut. OPTIONS * was answered by net/http itself. Change: 503 without asking a leaf; the limit as the rest begins, the longer one for configApplyMs and 1 s more; 404. Measured: TestPlane/leave without it: 0:1 502:2 instead of 502:2 503:1, and 200:2 instead of 200:1 404:1; TestPlane/idle: 0:3 200:2 instead of 200:4 0:1.

--- a/internal/scenario/front_test.go
+++ b/internal/scenario/front_test.go
@@ -45,8 +45,11 @@
 			break
 		}
 		p.say(c)
-	case "leave": // SIGTERM; returns when the process would end
+	case "say-late": // say-late NAME HOST PATH MS: the last byte of the request comes so much later; not waiting for the answer
+		p.wg.Go(func() { p.say(c) })
+	case "leave": // leave [after=MS]: SIGTERM; returns when the process ends, so long after all was answered
 		p.sw.Leave()
+		time.Sleep(time.Duration(c.Number("after", 0)) * time.Millisecond)
 		f.mesh.down("10.0.0.1", "")
 		p.wg.Wait()
 	default:
@@ -63,7 +66,17 @@
 	id := fmt.Sprint("q", p.nextID)
 	p.mu.Unlock()
 	status := "0"
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Comethold-Request-Id: %s\r\n\r\n", c.Word(2), c.Word(1), id); err == nil {
+	method := "GET"
+	if m := c.Opts["method"]; m != "" {
+		method = m
+	}
+	head, last := method+" %s HTTP/1.1\r\nHost: %s\r\nX-Comethold-Request-Id: %s\r\n", "\r\n"
+	if c.Verb == "say-late" {
+		_, _ = fmt.Fprintf(conn, head+"Content-Length: 1\r\n\r\n", c.Word(2), c.Word(1), id)
+		time.Sleep(c.Millis(3))
+		head, last = "%.0s%.0s%.0s", "x"
+	}
+	if _, err := fmt.Fprintf(conn, head+last, c.Word(2), c.Word(1), id); err == nil {
 		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
 			if _, err := io.Copy(io.Discard, resp.Body); err == nil {
 				status = strconv.Itoa(resp.StatusCode)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -202,6 +202,11 @@
 	return time.Duration(b.UsageWindowS * float64(time.Second))
 }
 
+// ConfigApply is how long an acknowledged configuration may take to be in force everywhere.
+func (b Bounds) ConfigApply() time.Duration {
+	return time.Duration(b.ConfigApplyMs) * time.Millisecond
+}
+
 // UsageDelay is how long after its window's end a report falls due.
 func (b Bounds) UsageDelay() time.Duration {
 	return time.Duration(b.UsageDelayS * float64(time.Second))
--- a/internal/switchboard/front.go
+++ b/internal/switchboard/front.go
@@ -37,7 +37,11 @@
 	mu      sync.Mutex
 	idle    map[net.Conn]rest
 	swept   time.Time
+	limit   time.Duration // of idle connections, as last seen
+	former  time.Duration // the one before, where it was longer, which holds on
+	until   time.Time     // up to this moment for those who have yet to hear of it
 	open    map[*pending]struct{}
+	ended   bool // what is open was answered; nothing is begun any more
 }
 
 // rest is since when a connection is idle, and the longest limit that was in force since:
@@ -77,6 +81,7 @@
 	defaultHeader = 64 << 10
 	readAtMost    = 30 * time.Second // for the head of a request
 	sparePerHop   = 2 * time.Millisecond
+	idleNews      = time.Second // past the time for a configuration, in which its limits are known
 
 	headerCredentials = "Authorization"
 	// revocationMargin is how old the word of the majority may be that a registrar
@@ -95,33 +100,54 @@
 	e.HideBanner, e.HidePort = true, true
 	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc { return f.serve })
 	return &http.Server{Handler: e, ConnState: f.connState, ReadHeaderTimeout: readAtMost,
-		MaxHeaderBytes: 1 << 20, ErrorLog: nil}
+		MaxHeaderBytes: 1 << 20, ErrorLog: nil, DisableGeneralOptionsHandler: true}
 }
 
 func (f *Front) connState(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s == http.StateIdle {
-		f.idle[c] = rest{since: time.Now()}
+		now := time.Now()
+		f.idle[c] = rest{since: now, limit: f.idleLimit(now)}
 	} else {
 		delete(f.idle, c)
 	}
 }
 
-// sweep closes connections that clients leave idle for too long. After a standstill of
-// this node it gives them a turn first: their requests may be here and not read yet.
-func (f *Front) sweep() {
+// idleLimit is for how long a client may leave a connection idle from now on, 0 without a
+// plan. Where it has become shorter, clients hear of that later than this node.
+func (f *Front) idleLimit(now time.Time) time.Duration {
 	p := f.office.Plan()
 	if p == nil {
-		return
+		return 0
 	}
 	limit := time.Duration(p.Limits.IdleTimeoutMs) * time.Millisecond
 	if limit <= 0 {
 		limit = math.MaxInt64
 	}
+	if limit < f.limit {
+		if now.After(f.until) || f.former < f.limit {
+			f.former = f.limit
+		}
+		f.until = now.Add(f.office.Set.Bounds.ConfigApply() + idleNews)
+	}
+	f.limit = limit
+	if now.Before(f.until) {
+		return max(limit, f.former)
+	}
+	return limit
+}
+
+// sweep closes connections that clients leave idle for too long. After a standstill of
+// this node it gives them a turn first: their requests may be here and not read yet.
+func (f *Front) sweep() {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	limit := f.idleLimit(now)
+	if limit <= 0 {
+		return
+	}
 	stood := now.Sub(f.swept) > 4*sweepEvery
 	f.swept = now
 	for c, r := range f.idle {
@@ -140,6 +166,7 @@
 // answer leaves the client in doubt of what it was sent.
 func (f *Front) finish() {
 	f.mu.Lock()
+	f.ended = true
 	open := slices.Collect(maps.Keys(f.open))
 	f.mu.Unlock()
 	for _, p := range open {
@@ -165,13 +192,17 @@
 	_ = http.NewResponseController(p.w).Flush()
 }
 
-// admit notes a request that has been read.
-func (f *Front) admit(w http.ResponseWriter) *pending {
-	p := &pending{w: w}
+// admit notes a request that has been read; after the end it is answered at once.
+func (f *Front) admit(w http.ResponseWriter) (p *pending, ok bool) {
+	p = &pending{w: w}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.open[p] = struct{}{}
-	return p
+	ended := f.ended
+	f.mu.Unlock()
+	if ended {
+		f.end(p)
+	}
+	return p, !ended
 }
 
 func (f *Front) settled(p *pending) {
@@ -229,8 +260,12 @@
 	if status != 0 {
 		return f.refuse(w, status, why)
 	}
-	p = f.admit(w)
+	var ok bool
+	p, ok = f.admit(w)
 	defer f.settled(p)
+	if !ok {
+		return nil
+	}
 	delete(req.Header, trunk.HeaderTenant) // ours to say, whatever the client sent
 	if own {
 		delete(req.Header, headerCredentials)
