Cell: a member that lacks a few positions asks for them with each beat

Cause: asking paused from 1 to 16 beats whatever was lacking.

Change: who lacks no more positions than the pipeline holds asks with each beat, and that does not lengthen the pause for more.

--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -428,7 +428,7 @@
 	r := Message{Kind: Promise, To: msg.From, Ballot: msg.Ballot, Chosen: m.applied, Slot: msg.Slot, Echo: m.stamp(now)}
 	from := msg.Slot
 	if from < m.base {
-		if m.maySnap(now, msg.From, from) {
+		if m.mayTeach(now, msg.From, from) {
 			r.Snap = m.st.snapshot(m.applied)
 		}
 		from = m.applied
--- a/internal/cell/teach.go
+++ b/internal/cell/teach.go
@@ -29,7 +29,7 @@
 	return n
 }
 
-// teaching is the last snapshot that a member was sent, and where it stood then.
+// teaching is the last large answer that a member was sent, and where it stood then.
 type teaching struct {
 	slot uint64
 	at   time.Duration
@@ -37,17 +37,21 @@
 }
 
 // mostWait bounds, in beats, how long a member that has come no further waits until it
-// asks again, or is sent a whole snapshot again.
+// asks again, or is sent again what is large.
 const mostWait = 16
 
+// smallTeach is for how many bytes of the log nobody need pause: they are sent as often
+// as they are asked for.
+const smallTeach = 4 << 10
+
 // longer doubles a pause up to the bound.
 func (m *Member) longer(wait time.Duration) time.Duration {
 	return min(2*wait, mostWait*m.p.Beat)
 }
 
-// maySnap reports whether a member that stands at a position is to be sent a snapshot
-// now: one that was sent not long ago may be under way.
-func (m *Member) maySnap(now time.Duration, to MemberID, slot uint64) bool {
+// mayTeach reports whether a member that stands at a position is to be sent something
+// large now: what was sent not long ago may be under way.
+func (m *Member) mayTeach(now time.Duration, to MemberID, slot uint64) bool {
 	t, ok := m.taught[to]
 	switch {
 	case !ok || t.slot != slot:
@@ -78,8 +82,11 @@
 		m.noteCurrent()
 		return
 	}
-	if !m.asked || m.askedOf != b.By || now-m.askedAt >= m.askWait {
-		if m.askWait = m.longer(m.askWait); m.askWait == 0 || m.askedOf != b.By {
+	// Who lacks no more than what may be under way in the pipeline lost a message or two,
+	// and asks with each beat; who asks for more pauses, since that may be large and slow.
+	few := m.st.founded() && chosen <= m.applied+m.p.Alpha && now-m.askedAt >= m.p.Beat/2
+	if !m.asked || m.askedOf != b.By || few || now-m.askedAt >= m.askWait {
+		if m.askWait = m.longer(m.askWait); m.askWait == 0 || few || m.askedOf != b.By {
 			m.askWait = m.p.Beat
 		}
 		m.asked, m.askedOf, m.askedAt = true, b.By, now
@@ -99,12 +106,14 @@
 			n += entrySize(&r.Entries[i])
 		}
 		if n <= m.st.size() || len(r.Entries) <= 4 {
-			m.send(r)
+			if n <= smallTeach || m.mayTeach(now, msg.From, msg.Slot) {
+				m.send(r)
+			}
 			return
 		}
 		r.Entries = nil
 	}
-	if m.maySnap(now, msg.From, msg.Slot) {
+	if m.mayTeach(now, msg.From, msg.Slot) {
 		r.Snap = m.st.snapshot(m.applied)
 		m.send(r)
 	}
--- a/internal/cell/teach_test.go
+++ b/internal/cell/teach_test.go
@@ -49,3 +49,37 @@
 		t.Errorf("a late snapshot is not learnt: at %d", bidder.Applied())
 	}
 }
+
+// TestFewLacking: a member that lacks no more than the pipeline holds asks with each beat,
+// and is taught each time if that is small; what is large is paced by who sends it.
+func TestFewLacking(t *testing.T) {
+	seats := []Seat{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	p := Params{Cell: "c", Self: "a", Alpha: 3, KeepLog: 16, Beat: 100 * time.Millisecond, Patience: time.Hour, Jitter: func() float64 { return 0 }}
+	const beats = 100
+	for what, c := range map[string]struct{ bytes, least, most int }{"small": {100, beats, beats}, "large": {2 * smallTeach, beats / mostWait, beats/mostWait + 6}} {
+		saved := Saved{Snap: &Snapshot{Applied: 5, State: map[string]Value{}, Memberships: []Membership{{From: 1, Seats: seats}}}}
+		learner := New(p, saved, 0)
+		put := Txn{ID: "t", Ops: []Op{{Kind: OpPut, Key: "k", Value: Bytes(make([]byte, c.bytes))}}}
+		saved.Entries, saved.Chosen = []Entry{{Slot: 6, Txns: []Txn{put}}, {Slot: 7}, {Slot: 8}}, 8
+		teacher := New(p, saved, 0)
+		asked, taught := 0, 0
+		for i := range beats {
+			now := time.Duration(i) * p.Beat
+			learner.Step(now, Message{Cell: "c", Kind: Beat, From: "b", To: "a", Ballot: Ballot{Round: 1, By: "b"}, Chosen: 8})
+			for _, msg := range learner.Take().Send {
+				if msg.Kind == Ask {
+					asked++
+					teacher.Step(now, Message{Cell: "c", Kind: Ask, From: "b", To: "a", Slot: msg.Slot})
+				}
+			}
+			for _, msg := range teacher.Take().Send {
+				if msg.Kind == Teach {
+					taught++
+				}
+			}
+		}
+		if asked != beats || taught < c.least || taught > c.most {
+			t.Errorf("%s: in %d beats asked %d times, taught %d times, not %d to %d", what, beats, asked, taught, c.least, c.most)
+		}
+	}
+}
