Fleet tests: a machine that was killed calls nobody any more

Cause: kill, power and kill-holder closed a machine's ports and connections, but what ran on in the test for a moment could still dial: a killed mover handed its duty back, which made kills kinder than they are. Change: each start of a machine is a life on the test's network; who was killed, or lost power, dials in vain, also once the machine is back. An orderly end still says goodbye.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -576,7 +576,7 @@
 		var wg sync.WaitGroup
 		for _, m := range f.pick(c.Word(0)) {
 			if m.stop != nil {
-				f.mesh.down(m.addr, "")
+				f.mesh.dead(m.addr)
 				wg.Go(m.stop)
 			}
 		}
@@ -646,7 +646,7 @@
 	case "power": // power NAMES: they lose power, and names that were not synced may be lost
 		var wg sync.WaitGroup
 		for _, m := range f.pick(c.Word(0)) {
-			f.mesh.down(m.addr, "")
+			f.mesh.dead(m.addr)
 			wg.Go(func() {
 				if m.stop != nil {
 					m.stop()
@@ -817,7 +817,7 @@
 		}
 		switch {
 		case c.Verb == "kill-holder":
-			f.mesh.down(m.addr, "")
+			f.mesh.dead(m.addr)
 			m.stop()
 		case c.Word(0) == "platform":
 			f.mesh.mu.Lock()
--- a/internal/scenario/mesh_test.go
+++ b/internal/scenario/mesh_test.go
@@ -16,7 +16,7 @@
 type mesh struct {
 	mu     sync.Mutex
 	ports  map[string]*port
-	lives  map[string]int // of a machine: a connection belongs to one life
+	lives  map[string]int // of a machine: who was killed, or lost power, calls nobody any more
 	cut    map[[2]string]bool
 	lost   map[string]bool // whose answers to operators are lost
 	conns  []*meshConn
@@ -72,8 +72,11 @@
 	}
 }
 
-// of is the network as a machine sees it.
+// of is the network as a machine sees it in the life that begins now.
 func (m *mesh) of(host string) wire.Net {
+	m.mu.Lock()
+	life := m.lives[host]
+	m.mu.Unlock()
 	return func(limit, silent time.Duration) func(context.Context, string, string) (net.Conn, error) {
 		return func(ctx context.Context, _, addr string) (net.Conn, error) {
 			m.late()
@@ -87,9 +90,9 @@
 				}
 			}
 			m.mu.Lock()
-			p := m.ports[addr]
+			p, over := m.ports[addr], m.lives[host] != life
 			m.mu.Unlock()
-			if p == nil {
+			if p == nil || over {
 				return nil, errRefused
 			}
 			a, b := net.Pipe()
@@ -217,6 +220,15 @@
 	m.conns = keep
 }
 
+// dead takes a machine off the network whose processes run on for a while in the test: what
+// they still do reaches nobody, also once the machine is back.
+func (m *mesh) dead(host string) {
+	m.mu.Lock()
+	m.lives[host]++
+	m.mu.Unlock()
+	m.down(host, "")
+}
+
 // reset ends every connection of a machine, which runs on.
 func (m *mesh) reset(host string) {
 	m.mu.Lock()
