Cell: a proposer that loses its seat hands over

Cause: when the move that drops it applied, a proposer stepped down in silence; its followers had not even heard of the last positions, and elected after a patience. Change: it sends a last beat, and tells the member that it heard last to bid (HandOver, bound to its ballot). Lost, doubled or a life later it does nothing: who is told must still follow that very ballot, and otherwise waits as before.

--- a/internal/cell/member.go
+++ b/internal/cell/member.go
@@ -411,6 +411,10 @@
 		if m.role == Leading && msg.Ballot == m.ballot {
 			m.learnt[msg.From] = max(m.learnt[msg.From], msg.Chosen)
 		}
+	case HandOver:
+		if m.leader == msg.From && m.promised == msg.Ballot {
+			m.succeed(now, 0)
+		}
 	case Ask:
 		m.onAsk(now, msg)
 	case Teach:
--- a/internal/cell/proposer.go
+++ b/internal/cell/proposer.go
@@ -129,8 +129,7 @@
 	for m.next <= m.applied+m.p.Alpha {
 		ms := m.st.at(m.next)
 		if !ms.Has(m.p.Self) && m.next == m.applied+1 {
-			m.leader = ""
-			m.listen(now) // moved out of the cell
+			m.handOver(now, ms)
 			return
 		}
 		if !majority(ms, func(id MemberID) bool { return m.promises[id] }) {
@@ -154,6 +153,22 @@
 	}
 }
 
+// handOver ends the lead of a member that was moved out of the cell: the others learn what
+// was chosen, and the one that was heard last is told to bid. If that is lost, or comes
+// late, they elect after a patience.
+func (m *Member) handOver(now time.Duration, ms Membership) {
+	m.beat(now)
+	heir := MemberID("")
+	for _, s := range ms.Seats {
+		if heir == "" || m.ackedAt[s.ID] > m.ackedAt[heir] {
+			heir = s.ID
+		}
+	}
+	m.send(Message{Kind: HandOver, To: heir, Ballot: m.ballot})
+	m.leader = ""
+	m.listen(now)
+}
+
 func (m *Member) sendAccept(e Entry, ms Membership, acked map[MemberID]bool) {
 	msg := Message{Kind: Accept, Ballot: m.ballot, Chosen: m.applied, Entries: []Entry{e}}
 	for _, s := range ms.Seats {
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -582,8 +582,12 @@
 		var ids []string
 		for i := 1; i < len(f); i += 2 {
 			var next []Seat
+			out := MemberID(arg(i))
+			if out == "leader" {
+				out = l.id
+			}
 			for _, x := range seats {
-				if x.ID != MemberID(arg(i)) {
+				if x.ID != out {
 					next = append(next, x)
 				}
 			}
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -146,6 +146,7 @@
 	Teach
 	Reserved
 	Held
+	HandOver // a proposer that loses its seat: bid, nobody leads under this ballot any more
 )
 
 // Message goes from one member to another; any may be lost, doubled or late.
