--- a/internal/scenario/repairs_test.go
+++ b/internal/scenario/repairs_test.go
@@ -76,7 +76,7 @@
 		if rng.Intn(2) == 0 {
 			order()
 		}
-		add("want-whole 15000")
+		add("want-whole 4000") // the shortest time after which a loss stops counting
 	}
 	add("kill all")
 	add("start all")
