Usage: notes of the counts take a bounded part of the disk

At the planned size a registrar's book of four windows is hundreds of kilobytes; noted every 0.2 s it would grow with nodes times tenants on the disk. The pause grows with what was written: 256 KiB a second. The usage scenarios pass as before.

--- a/internal/registrar/usage.go
+++ b/internal/registrar/usage.go
@@ -31,7 +31,8 @@
 	reportWait    = 0.3 // of the time in which a report falls due, after its window's end
 	reportLast    = 0.7 // after which it is made without registrars that don't answer
 	reportWork    = 900 * time.Millisecond
-	keepBook      = 200 * time.Millisecond // between two notes of the counts on the disk
+	keepBook      = 200 * time.Millisecond // between two notes of the counts on the disk, at least
+	keepRate      = 256 << 10              // bytes a second that the notes may take
 	keptWindows   = 4                      // that are noted
 	callMost      = time.Second
 	callMargin    = 150 * time.Millisecond // left of the lease when a call must be over
@@ -100,13 +101,16 @@
 func keptKey(window uint64) string { return fmt.Sprint("usage/", window%keptWindows) }
 
 // keep notes the counts of the newest windows on the disk, as far as they have changed:
-// when a registrar ends together with the nodes that told it, nobody else knows them.
-func (u *usages) keep(v *vault.Vault, window uint64) {
+// when a registrar ends together with the nodes that told it, nobody else knows them. It
+// returns how many bytes that took.
+func (u *usages) keep(v *vault.Vault, window uint64) (n int) {
 	for _, w := range u.book.Changed(window - min(window, keptWindows-1)) {
 		if raw, err := wire.Marshal(&keptBook{w, u.book.Of(w)}); err == nil {
 			v.NoteNode(keptKey(w), raw)
+			n += len(raw)
 		}
 	}
+	return n
 }
 
 // restore takes in what a former life noted.
@@ -121,14 +125,17 @@
 
 // keepLoop notes the counts until the node ends.
 func (r *Registrar) keepLoop() {
+	pause := keepBook
 	for {
 		select {
-		case <-time.After(keepBook):
+		case <-time.After(pause):
 		case <-r.quit:
 			return
 		}
+		pause = keepBook
 		if at, ok := r.usages.clock.Now(time.Now()); ok {
-			r.usages.keep(r.host.vault, usage.WindowOf(at, r.set.Bounds.UsageWindow()))
+			n := r.usages.keep(r.host.vault, usage.WindowOf(at, r.set.Bounds.UsageWindow()))
+			pause = max(pause, time.Duration(float64(n)/keepRate*float64(time.Second)))
 		}
 	}
 }
