--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -301,6 +301,9 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.fleet.hasEnded() {
+		return errEnded
+	}
 	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/review/standin/machines.go
+++ b/review/standin/machines.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -8,6 +9,17 @@
 	"time"
 )
 
+var errEnded = errors.New("the fleet has ended")
+
+func (f *fleet) hasEnded() bool {
+	select {
+	case <-f.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // end sends a signal that ends a process for good, or until start is called again, and returns
 // when it has ended.
 func (p *process) end(sig syscall.Signal) {
@@ -60,10 +72,12 @@
 			return nil, err
 		}
 		added.procs = append(added.procs, p)
+	}
+	f.machines = append(f.machines, added)
+	for _, p := range added.procs {
 		if err := p.start(); err != nil {
 			return nil, err
 		}
 	}
-	f.machines = append(f.machines, added)
 	return added, nil
 }
--- a/review/standin/replace.go
+++ b/review/standin/replace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,12 +13,13 @@
 )
 
 // The case replace: a machine of the core is replaced, the new one first. When the new one has had
-// catchUpS twice, the old one is taken away for good. When that is longer than catchUpS ago,
-// another machine of the core loses its disk.
+// catchUpS twice, the old one is taken away for good. When that is longer than catchUpS ago, the
+// operator sends a change to another machine of the core, which loses its disk right after it has
+// acknowledged it.
 const (
 	catchUp         = 4 * time.Second
 	beforeRemoval   = 2 * catchUp
-	afterRemoval    = catchUp + 200*time.Millisecond // to the loss of the disk
+	afterRemoval    = catchUp + 50*time.Millisecond // to the change
 	downFor         = time.Second
 	readBack        = 30 * time.Second // the operator asks for so long; contactMs is 5 s
 	replaceMachines = 6
@@ -62,13 +64,12 @@
 		}
 	}
 	removedAt := time.Now()
-	time.Sleep(time.Until(removedAt.Add(lossDelay() - 700*time.Millisecond)))
+	time.Sleep(time.Until(removedAt.Add(changeDelay())))
 	control := []*machine{kept, lost, added}
 	configuration["version"] = 7
-	if err := f.replaceAt(control, configuration, 1, 600*time.Millisecond); err != nil {
+	if err := f.replaceAt(control[1:2], configuration, 1, 3*time.Second); err != nil {
 		return nil, err
 	}
-	time.Sleep(time.Until(removedAt.Add(lossDelay())))
 	if s.trouble {
 		registrar := lost.process("registrar")
 		for _, process := range lost.procs {
@@ -87,9 +88,9 @@
 	return f.readBack(control, 7), nil
 }
 
-// lossDelay is the time from the removal of one machine to the loss of the other's disk. DELAY_S
-// sets another one, to see from when on the disk may be lost.
-func lossDelay() time.Duration {
+// changeDelay is the time from the removal of one machine to the change after which the other loses
+// its disk. DELAY_S sets another one, to see from when on the disk may be lost.
+func changeDelay() time.Duration {
 	if seconds, err := strconv.ParseFloat(os.Getenv("DELAY_S"), 64); err == nil {
 		return time.Duration(seconds * float64(time.Second))
 	}
@@ -110,7 +111,7 @@
 			}
 			text, _ := io.ReadAll(response.Body)
 			_ = response.Body.Close()
-			f.record.line("operator: read at %s: %s %.120s", m.name, response.Status, text)
+			f.record.line("operator: read at %s: %s %.120s", m.name, response.Status, bytes.TrimSpace(text))
 			answers[response.Status]++
 			var read struct {
 				Version int `json:"version"`
