Placement: a lost voter is replaced within catchUpS

Cause: the successor held the state but had no vote. A voter was replaced after 5 s without contact, a constant that is longer than the 4 s of catchUpS in the small deployments.

Change: the mover takes a voter for lost after half of catchUpS (2 s at least, 5 s at most, 5 s without catchUpS). The other half is for a new leader, the placement lease and the moves. A candidate must have been in contact within three quarters of that time, so that of two machines that were lost together one does not replace the other. The registration of control nodes as down keeps its 5 s; the return of a peer its 3 s.

--- a/internal/controlplane/placement/mover.go
+++ b/internal/controlplane/placement/mover.go
@@ -54,6 +54,7 @@
 	Host     Host
 	Lease    Lease
 	Voters   int // the intended number in each cell
+	Timeouts Timeouts
 	RegionOf func(zone string) string
 	Log      *logging.Logger
 }
@@ -105,7 +106,7 @@
 
 func (m *Mover) planMoves() (moves []plannedMove) {
 	host := m.options.Host
-	isDown := func(address string) bool { return host.ContactAge(address) > replicahost.DownTimeout }
+	isDown := func(address string) bool { return host.ContactAge(address) > m.options.Timeouts.Voter }
 	var live map[string]replicahost.PeerInfo
 	host.ViewAll(func(open replicahost.OpenReplica) {
 		voters, inEffect := open.Replica.Voters()
@@ -113,7 +114,7 @@
 			return
 		}
 		if live == nil {
-			live = host.LivePeers(replicahost.CandidateTimeout)
+			live = host.LivePeers(m.options.Timeouts.Candidate)
 		}
 		s := situation{
 			voters:   voters,
--- a/internal/controlplane/placement/plan.go
+++ b/internal/controlplane/placement/plan.go
@@ -43,7 +43,7 @@
 //
 //   - a voter whose machine returned with an empty disk is replaced by its new replica;
 //   - a cell with too few voters gets one more;
-//   - a voter that is out of contact for DownTimeout is replaced by a node without a vote.
+//   - a voter that is out of contact for Timeouts.Voter is replaced by a node without a vote.
 //
 // New voters come from the zone, then the region, with the fewest voters.
 func (s *situation) plan() (planned move, needed bool) {
--- a/internal/controlplane/replicahost/peers.go
+++ b/internal/controlplane/replicahost/peers.go
@@ -20,10 +20,9 @@
 const (
 	// LearnerTimeout is after how long a peer without a vote is no longer kept up to date.
 	LearnerTimeout = 10 * time.Second
-	// CandidateTimeout is after how long a peer can no longer become a voter.
-	CandidateTimeout = 3 * time.Second
-	// DownTimeout is after how long a voter is replaced and a control node is registered as
-	// down.
+	// ReturnTimeout is after how long the next message of a peer counts as its return.
+	ReturnTimeout = 3 * time.Second
+	// DownTimeout is after how long a control node is registered as down.
 	DownTimeout = 5 * time.Second
 )
 
@@ -199,7 +198,7 @@
 		h.transport.send(sender.Addr, nil)
 	}
 	found := h.peers.record(sender, now)
-	if found.isNew || found.contactAge > CandidateTimeout {
+	if found.isNew || found.contactAge > ReturnTimeout {
 		h.stability.unstableAt = now
 	}
 	if found.isNew {
--- a/internal/controlplane/startup.go
+++ b/internal/controlplane/startup.go
@@ -104,6 +104,7 @@
 		Host:     s.host,
 		Lease:    s.placementLease,
 		Voters:   placement.VotersFor(s.settings.Tolerance.MachineLosses),
+		Timeouts: placement.TimeoutsFor(s.settings.Bounds.CatchUp()),
 		RegionOf: s.settings.RegionOf,
 		Log:      s.log,
 	})
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -11,6 +11,7 @@
 	DrainMs          int64   `toml:"drainMs" validate:"min=0"`
 	GracePeriodS     float64 `toml:"gracePeriodS" validate:"min=0"`
 	ConfigApplyMs    int64   `toml:"configApplyMs" validate:"min=0"`
+	CatchUpS         float64 `toml:"catchUpS" validate:"min=0"`
 	RetryBudgetRatio float64 `toml:"retryBudgetRatio" validate:"min=0"`
 	RetryWindowS     float64 `toml:"retryWindowS" validate:"min=0"`
 	RetryBudgetSlack float64 `toml:"retryBudgetSlack" validate:"min=0"`
@@ -34,6 +35,10 @@
 // ConfigApplyTimeout is how long an acknowledged configuration may take to be in force everywhere.
 func (b Bounds) ConfigApplyTimeout() time.Duration { return milliseconds(b.ConfigApplyMs) }
 
+// CatchUp is how long a machine that was replaced, or that returned, still counts as lost; 0 if that is not given.
+// After it the next machine may be lost.
+func (b Bounds) CatchUp() time.Duration { return seconds(b.CatchUpS) }
+
 // RetryWindow is the span over which the retry budget counts.
 func (b Bounds) RetryWindow() time.Duration { return seconds(b.RetryWindowS) }
 
--- a/internal/simulation/fleet_test.go
+++ b/internal/simulation/fleet_test.go
@@ -131,7 +131,7 @@
 		Platform:          settings.Platform{Address: platformAddress, RatePerS: 50},
 		Tolerance:         settings.Tolerance{MachineLosses: f.machineLosses},
 		Bounds: settings.Bounds{
-			DrainMs: 3000, GracePeriodS: 6,
+			DrainMs: 3000, GracePeriodS: 6, CatchUpS: 4,
 			RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 20,
 			QuotaWindowS: 5, QuotaOvershoot: 0.1, QuotaSlack: 20,
 		},
