Placement: a machine with an empty disk gets the vote of an initial voter back

Callers would see: a cell that stays at two of three voters for good after a replaced control node and a lost disk; the next loss ends it.

Cause: the leader rejects a move that puts a majority of the votes into one zone, unless that was so before. Initial voters are recorded without a zone, so before the move the cell seemed to be spread better than it was.

Evidence: replaced-first-voter.txt fails before the change: want-all-voters 4000: exchange has a voter 10.1.0.1 that doesn't vote

Change: the zone of the added voter counts for the voter at the same address too. The rule for other machines is as it was.

--- a/internal/controlplane/placement/mover.go
+++ b/internal/controlplane/placement/mover.go
@@ -192,7 +192,7 @@
 	if request.Remove != "" {
 		limit = len(voters)
 	}
-	if len(next) > limit || !survivesZoneLoss(next) && survivesZoneLoss(voters) {
+	if len(next) > limit || worsensSpread(voters, next, request.Add) {
 		return txn, false
 	}
 	version, found := replica.Get(paxos.MembershipVersionKey)
--- a/internal/controlplane/placement/plan.go
+++ b/internal/controlplane/placement/plan.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"comethold/internal/controlplane/replicahost"
 	"comethold/internal/paxos"
 )
@@ -24,6 +26,20 @@
 	return true
 }
 
+// worsensSpread reports whether the cell survives the loss of any zone now, but not with the
+// next voters. The zone of an initial voter is not recorded: at the address of the added voter
+// it is the same, so a replica that takes the vote of the one before it on its machine
+// worsens nothing.
+func worsensSpread(voters, next []paxos.Voter, added paxos.Voter) bool {
+	known := slices.Clone(voters)
+	for i := range known {
+		if known[i].Addr == added.Addr {
+			known[i].Zone = added.Zone
+		}
+	}
+	return survivesZoneLoss(known) && !survivesZoneLoss(next)
+}
+
 // situation is the input from which a move is planned.
 type situation struct {
 	voters   []paxos.Voter
--- a/internal/controlplane/placement/plan_test.go
+++ b/internal/controlplane/placement/plan_test.go
@@ -53,3 +53,21 @@
 	}
 	return voters
 }
+
+// TestWorsensSpread guards against a machine that returned with an empty disk and gets its vote
+// back never, since the zone of its former replica was not recorded.
+func TestWorsensSpread(t *testing.T) {
+	for _, c := range []struct {
+		name, voters, next, added string
+		want                      bool
+	}{
+		{"one machine, zone not recorded", "a@1/ d@4/x c@3/", "a2@1/x d@4/x c@3/", "a2@1/x", false},
+		{"two machines of a zone", "a@1/x b@2/y c@3/z", "a@1/x d@4/x c@3/z", "d@4/x", true},
+		{"two machines of three zones", "a@1/x b@2/y c@3/z", "a@1/x d@4/y c@3/z", "d@4/y", false},
+	} {
+		added := parseVoters(c.added)[0]
+		if got := worsensSpread(parseVoters(c.voters), parseVoters(c.next), added); got != c.want {
+			t.Errorf("%s: %v, not %v", c.name, got, c.want)
+		}
+	}
+}
