Upstream: the head of an answer is bounded at 64 KiB

Cause: http.ReadResponse read the head straight from the connection, and it bounds neither a line nor a head; only the body had a bound.

Change: at most 64 KiB are read for the head of an answer, with the informational responses before it; after that the answer is lost. The http.Transport clients of our own calls, of the platform's list and of the usage reports have the same bound (10 MB before, the default of net/http).

--- a/internal/controlplane/metering/platform.go
+++ b/internal/controlplane/metering/platform.go
@@ -179,6 +179,8 @@
 		Transport: &http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dial(ctx, network, address)
 				if err != nil {
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -86,6 +86,8 @@
 		DialContext:         network(dialTimeout, silenceTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
+
+		MaxResponseHeaderBytes: rpc.MaxAnswerHeadBytes,
 	}
 	return &Client{
 		address:    address,
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// MaxAnswerHeadBytes bounds the status line and headers of an answer to a client of this module.
+const MaxAnswerHeadBytes = 64 << 10
+
 // Defaults of a client.
 const (
 	defaultDialTimeout    = 700 * time.Millisecond
@@ -39,6 +42,8 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
+
+		MaxResponseHeaderBytes: MaxAnswerHeadBytes,
 	}
 	return &Client{httpClient: &http.Client{CheckRedirect: NoRedirect, Transport: transport}}
 }
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -165,3 +167,30 @@
 	wg.Wait()
 	return successes
 }
+
+// TestEndlessAnswerHead guards against a peer whose answer has a header line without an end.
+func TestEndlessAnswerHead(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		line := bytes.Repeat([]byte("x"), MaxAnswerHeadBytes)
+		_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Pad: "))
+		for err == nil {
+			_, err = conn.Write(line)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	err = NewClient(TCPNetwork).Call(ctx, listener.Addr().String(), "/", 1, nil)
+	if !errors.Is(err, ErrNoResponse) || !strings.Contains(err.Error(), "exceeded 65536 bytes") {
+		t.Errorf("the call ends with %v", err)
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -25,7 +25,8 @@
 // and is used by one goroutine at a time.
 type connection struct {
 	conn   net.Conn
-	reader *bufio.Reader
+	source *boundedReader // of conn
+	reader *bufio.Reader  // of source
 	writer *bufio.Writer
 
 	reusableUntil time.Time // after this the endpoint may close it
@@ -43,9 +44,11 @@
 }
 
 func newConnection(conn net.Conn) *connection {
+	source := &boundedReader{source: conn}
 	return &connection{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, readBufferBytes),
+		source: source,
+		reader: bufio.NewReaderSize(source, readBufferBytes),
 		writer: bufio.NewWriterSize(conn, writeBufferBytes),
 	}
 }
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -14,6 +14,9 @@
 
 const (
 	maxResponseBytes = 32 << 20
+	// maxResponseHeadBytes bounds the status line and headers of a response, together with
+	// all informational responses before it.
+	maxResponseHeadBytes = 64 << 10
 
 	// defaultIdleTimeout is how long an idle connection is reused when the
 	// endpoint states no keep-alive time.
@@ -91,8 +94,11 @@
 }
 
 // readHead reads the status line and headers of the final response. It skips
-// informational responses.
+// informational responses. It reads at most maxResponseHeadBytes, since http.ReadResponse
+// bounds neither a line nor a head.
 func (c *connection) readHead(method string) (*http.Response, error) {
+	c.source.bound(maxResponseHeadBytes)
+	defer c.source.unbound()
 	request := &http.Request{Method: method}
 	for {
 		received, err := http.ReadResponse(c.reader, request)
