Requests whose clients have left are given up

Cause: nothing below the handler knew of the client. Calls to leafs had a context made from context.Background, and the waits before a call (for a token, for the rate of an origin, for a retry) had none.

Change: the context of the client's request goes along. Once the client has left there is no further call; calls under way for a request that may be repeated are given up by closing their connections, which is no sign of the leaf's health. A request that must not be repeated goes on to its end once it was sent. Calls that outlast their reply go on as before. The deadline of a dial is set only where there is a dial.

--- a/internal/objectcache/client.go
+++ b/internal/objectcache/client.go
@@ -1,6 +1,7 @@
 package objectcache
 
 import (
+	"context"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -50,9 +51,11 @@
 	return nil, newUnavailable(reasonNoServer, noServerRetryDelay)
 }
 
-// Permit waits until a call may be made to a service, at most until the deadline. If ok is
-// false, retryAfter is the time after which to ask again.
-func (c *Client) Permit(service string, deadline time.Time) (ok bool, retryAfter time.Duration) {
+// Permit waits until a call may be made to a service, at most until the deadline or until ctx is
+// done. If ok is false, retryAfter is the time after which to ask again.
+func (c *Client) Permit(
+	ctx context.Context, service string, deadline time.Time,
+) (ok bool, retryAfter time.Duration) {
 	table := c.control.RouteTable()
 	if table == nil || table.Services[service] == nil || table.Services[service].RatePerSecond <= 0 {
 		return true, 0
@@ -61,14 +64,16 @@
 	turn := strconv.FormatInt(c.permitsAsked.Add(1), 36)
 	for i, server := range c.servers.rankedServers(turn, ownRegionFirst) {
 		wait := time.Until(deadline) - deadlineMargin
-		if i == maxServersTried || wait <= 0 {
+		if i == maxServersTried || wait <= 0 || ctx.Err() != nil {
 			break
 		}
-		reply, err := c.servers.requestPermit(server, service, wait)
+		reply, err := c.servers.requestPermit(ctx, server, service, wait)
 		if err == nil {
 			return reply.Granted, time.Duration(reply.RetryMs) * time.Millisecond
 		}
-		c.servers.markFailed(server)
+		if ctx.Err() == nil {
+			c.servers.markFailed(server)
+		}
 	}
 	return false, permitRetryDelay
 }
--- a/internal/objectcache/origin.go
+++ b/internal/objectcache/origin.go
@@ -1,6 +1,7 @@
 package objectcache
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -101,7 +102,8 @@
 	begunAt := time.Now()
 	timeout := max(minReadTimeout, r.server.latency.timeout(r.service))
 	request.Deadline = begunAt.Add(min(r.deadline.Sub(begunAt), timeout))
-	response, err := r.server.Upstreams.Call(admitted.endpoint, request)
+	// The read serves all requests that join it, so none of their clients ends it by leaving.
+	response, err := r.server.Upstreams.Call(context.Background(), admitted.endpoint, request)
 	r.tried = append(r.tried, admitted.endpoint)
 	outcome := upstream.OutcomeOf(response, err)
 	if outcome == upstream.Executed {
--- a/internal/objectcache/permit.go
+++ b/internal/objectcache/permit.go
@@ -12,8 +12,10 @@
 )
 
 // requestPermit asks one server for a permit to call a service.
-func (c *serverClient) requestPermit(n distribution.Node, service string, wait time.Duration) (permitReply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+func (c *serverClient) requestPermit(
+	ctx context.Context, n distribution.Node, service string, wait time.Duration,
+) (permitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	request := permitRequest{Service: service, WaitMs: wait.Milliseconds()}
 	var reply permitReply
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,11 +76,21 @@
 		x.reject(rejected)
 		return
 	}
-	if rejected := x.spendToken(remaining); rejected != nil {
+	client, stopWatching := x.watchClient()
+	defer stopWatching()
+	if rejected := x.spendToken(client, remaining); rejected != nil {
 		x.reject(rejected)
 		return
 	}
-	x.dispatch()
+	x.dispatch(client)
+}
+
+// watchClient returns a context that is canceled when the client closes its connection. After
+// stop it is not canceled any more: the context of the request is canceled when its handler
+// returns, but calls that outlast a reply go on.
+func (x *exchange) watchClient() (client context.Context, stop func() bool) {
+	client, cancel := context.WithCancel(context.Background())
+	return client, context.AfterFunc(x.request.Context(), cancel)
 }
 
 // findRoute finds the route in the table that is in force.
@@ -145,11 +156,11 @@
 }
 
 // spendToken spends a token of the tenant's quota.
-func (x *exchange) spendToken(remaining time.Duration) *rejection {
+func (x *exchange) spendToken(client context.Context, remaining time.Duration) *rejection {
 	if x.identity.Tenant == nil {
 		return nil
 	}
-	admission := x.tokens.admit(x.identity.Tenant, x.route.TargetLatency, remaining, x.start)
+	admission := x.tokens.admit(client, x.identity.Tenant, x.route.TargetLatency, remaining, x.start)
 	retryAfter := max(admission.retryAfter, minRetryAfter)
 	switch admission.verdict {
 	case tenantLimited:
@@ -165,8 +176,8 @@
 }
 
 // dispatch carries the request to its endpoints, or answers it from the object
-// cache, and writes the reply.
-func (x *exchange) dispatch() {
+// cache, and writes the reply. client is canceled when the client has left.
+func (x *exchange) dispatch(client context.Context) {
 	if !x.pending.markDispatched() {
 		return
 	}
@@ -178,7 +189,7 @@
 			onExecuted(time.Now()) // on cacheable routes usage counts successes only
 		}
 	} else {
-		reply = x.dispatcher.Dispatch(x.route, x.forwarded, x.start, onExecuted)
+		reply = x.dispatcher.Dispatch(client, x.route, x.forwarded, x.start, onExecuted)
 	}
 	if x.pending.claimAnswer() {
 		writeReply(x.writer, x.request.Method, reply)
--- a/internal/proxy/token_client.go
+++ b/internal/proxy/token_client.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -77,9 +78,10 @@
 }
 
 // admit spends a token for a request of the tenant, if it needs one. It waits for a
-// token for at most half the target latency, within bounds, and the remaining time.
+// token for at most half the target latency, within bounds, and the remaining time, and
+// not after the client has left.
 func (t *tokenClient) admit(
-	tenant *routing.Tenant, targetLatency, remaining time.Duration, now time.Time,
+	client context.Context, tenant *routing.Tenant, targetLatency, remaining time.Duration, now time.Time,
 ) admission {
 	if !t.rules.LimitsFor(tenant.RatePerSecond, tenant.BurstSize).Limited() {
 		return admission{verdict: granted}
@@ -98,6 +100,7 @@
 	case result := <-waiting.done:
 		return result
 	case <-timer.C:
+	case <-client.Done():
 	case <-t.client.Done():
 	}
 	return t.stopWaiting(queue, waiting)
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -19,7 +19,7 @@
 	attemptSent                          // the call is under way
 	attemptHedged                        // the call is under way and overdue; a hedge was sent
 	attemptCompleted                     // ended, with a response or an error
-	attemptCancelled                     // abandoned before it was sent: the rate limit allowed no call in time
+	attemptCancelled                     // not sent: the rate limit allowed no call in time, or the client has left
 )
 
 // attempt is one call of a shard's request to one endpoint.
@@ -50,27 +50,44 @@
 
 // perform makes the call of an attempt and sends the attempt to the fan-out. It
 // runs in a goroutine of its own, which ends by the request's deadline, and may
-// outlast the fan-out: the results channel is buffered for every attempt.
+// outlast the fan-out.
 func (f *fanOut) perform(a *attempt) {
-	if f.AwaitRate != nil {
-		ok, retryAfter := f.AwaitRate(a.endpoint.Info().Service, f.request.Deadline)
-		if !ok {
-			f.Clusters.Release(a.endpoint)
-			a.retryAfter = retryAfter
-			a.enter(attemptCancelled)
-			f.results <- a
-			return
-		}
+	if !f.awaitTurn(a) {
+		f.Clusters.Release(a.endpoint)
+		a.enter(attemptCancelled)
+		f.deliver(a)
+		return
 	}
 	a.enter(attemptSent)
 	sentAt := time.Now()
 	pair := a.shard.pair
 	contended := pair != nil && f.Clusters.Contended(a.endpoint)
-	a.response, a.err = f.Clusters.Call(a.endpoint, f.request)
+	a.response, a.err = f.Clusters.Call(f.calls, a.endpoint, f.request)
 	a.duration = time.Since(sentAt)
 	a.enter(attemptCompleted)
-	f.results <- a
+	f.deliver(a)
 	if pair != nil {
 		f.recordSample(a, contended)
 	}
 }
+
+// awaitTurn waits until the service's rate limit allows the call of an attempt. It reports
+// false if the call must not be made: the limit allows none in time, or the client has left.
+func (f *fanOut) awaitTurn(a *attempt) bool {
+	if f.AwaitRate == nil {
+		return true
+	}
+	ok, retryAfter := f.AwaitRate(f.client, a.endpoint.Info().Service, f.request.Deadline)
+	if !ok {
+		a.retryAfter = retryAfter
+	}
+	return ok && f.client.Err() == nil
+}
+
+// deliver sends an attempt that ended to the fan-out, unless that has ended too.
+func (f *fanOut) deliver(a *attempt) {
+	select {
+	case f.results <- a:
+	case <-f.ended:
+	}
+}
--- a/internal/scatter/dispatch_test.go
+++ b/internal/scatter/dispatch_test.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 // leafSet is the leafs of a test. All of them answer by one handler, which also
 // gets how many requests came before.
 type leafSet struct {
+	client     context.Context // of the requests
 	dispatcher *Dispatcher
 	requests   atomic.Int64
 	executed   atomic.Int64 // calls of the callback of Dispatch
@@ -46,7 +48,7 @@
 // after it: s-0 and s-1 are two of s.
 func newLeafSet(tb testing.TB, handler leafHandler, ids ...string) *leafSet {
 	tb.Helper()
-	set := &leafSet{}
+	set := &leafSet{client: tb.Context()}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler(w, r, set.requests.Add(1)-1)
 	}))
@@ -87,7 +89,7 @@
 	request := &upstream.Request{
 		Method: http.MethodGet, Target: "/", Host: "h", ID: "q", Deadline: start.Add(compiled.Timeout),
 	}
-	return s.dispatcher.Dispatch(compiled, request, start, func(time.Time) { s.executed.Add(1) })
+	return s.dispatcher.Dispatch(s.client, compiled, request, start, func(time.Time) { s.executed.Add(1) })
 }
 
 // Handlers of leafs.
@@ -222,7 +224,9 @@
 func TestRateLimit(t *testing.T) {
 	set := newLeafSet(t, alwaysSucceed, "s-0")
 	allowed := false
-	set.dispatcher.AwaitRate = func(string, time.Time) (bool, time.Duration) { return allowed, 7 * time.Second }
+	set.dispatcher.AwaitRate = func(context.Context, string, time.Time) (bool, time.Duration) {
+		return allowed, 7 * time.Second
+	}
 	reply := set.dispatch(routing.Route{})
 	if reply.Status != http.StatusServiceUnavailable || reply.RetryAfter != 7*time.Second {
 		t.Errorf("status %d, retry after %v", reply.Status, reply.RetryAfter)
@@ -367,3 +371,127 @@
 		})
 	}
 }
+
+// waitFor waits until a condition holds, for a second at most.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within a second: %s", what)
+		}
+	}
+}
+
+// TestClientLeaves guards against leafs that work on for a client that has left, and against
+// further attempts for it.
+func TestClientLeaves(t *testing.T) {
+	for name, route := range map[string]routing.Route{
+		"single":  {Service: "s0", MaxAttempts: 3},
+		"fan-out": fanOutRoute(3, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var working atomic.Int64
+			set := newLeafSet(t, func(_ http.ResponseWriter, r *http.Request, _ int64) {
+				working.Add(1)
+				<-r.Context().Done()
+				working.Add(-1)
+			}, fanOutIDs(3)...)
+			client, leave := context.WithCancel(t.Context())
+			set.client = client
+			ended := make(chan *Reply)
+			go func() { ended <- set.dispatch(route) }()
+			shards := int64(max(1, len(route.FanoutServices)))
+			waitFor(t, "the leafs work", func() bool { return working.Load() == shards })
+			leave()
+			if reply := <-ended; reply.Status/100 == 2 || impliesNotExecuted(reply.Status) {
+				t.Errorf("status %d", reply.Status)
+			}
+			waitFor(t, "no leaf works", func() bool { return working.Load() == 0 })
+			if n := set.requests.Load(); n != shards {
+				t.Errorf("%d requests, not %d", n, shards)
+			}
+		})
+	}
+}
+
+// TestClientLeavesUnsafe: a request that must not be executed twice goes on to its end, without
+// a further attempt.
+func TestClientLeavesUnsafe(t *testing.T) {
+	for name, answer := range map[string]func(http.ResponseWriter){
+		"success":   func(w http.ResponseWriter) { succeed(w, "body") },
+		"rejection": reject,
+	} {
+		t.Run(name, func(t *testing.T) {
+			goOn := make(chan struct{})
+			set := newLeafSet(t, func(w http.ResponseWriter, r *http.Request, _ int64) {
+				select {
+				case <-goOn:
+					answer(w)
+				case <-r.Context().Done():
+					t.Error("the request was broken off")
+				}
+			}, "s-0", "s-1")
+			client, leave := context.WithCancel(t.Context())
+			set.client = client
+			ended := make(chan *Reply)
+			go func() { ended <- set.dispatch(routing.Route{RouteKind: routing.KindUnsafe, MaxAttempts: 3}) }()
+			waitFor(t, "a leaf works", func() bool { return set.requests.Load() == 1 })
+			leave()
+			time.Sleep(20 * time.Millisecond)
+			close(goOn)
+			if reply := <-ended; name == "success" && reply.Status != http.StatusOK {
+				t.Errorf("status %d", reply.Status)
+			}
+			if n := set.requests.Load(); n != 1 {
+				t.Errorf("%d requests", n)
+			}
+		})
+	}
+}
+
+// TestClientLeavesQueue: a request that waits for its service's rate is not sent once its client
+// has left, nor is one whose client has left before.
+func TestClientLeavesQueue(t *testing.T) {
+	set := newLeafSet(t, alwaysSucceed, "s-0")
+	client, leave := context.WithCancel(t.Context())
+	set.client = client
+	waiting := make(chan struct{})
+	set.dispatcher.AwaitRate = func(ctx context.Context, _ string, _ time.Time) (bool, time.Duration) {
+		close(waiting)
+		<-ctx.Done()
+		return true, 0 // allowed, but too late
+	}
+	ended := make(chan *Reply)
+	go func() { ended <- set.dispatch(routing.Route{}) }()
+	<-waiting
+	leave()
+	<-ended
+	set.dispatcher.AwaitRate = nil
+	set.dispatch(routing.Route{})
+	set.client = t.Context()
+	if reply := set.dispatch(routing.Route{}); reply.Status != http.StatusOK || set.requests.Load() != 1 {
+		t.Errorf("status %d, %d requests", reply.Status, set.requests.Load())
+	}
+}
+
+// TestHedgeOutlastsReply: an attempt that is overtaken by its hedge is not broken off.
+func TestHedgeOutlastsReply(t *testing.T) {
+	goOn := make(chan struct{})
+	var completed atomic.Bool
+	set := newLeafSet(t, func(w http.ResponseWriter, r *http.Request, earlier int64) {
+		if earlier == 0 {
+			select {
+			case <-goOn:
+				completed.Store(true)
+			case <-r.Context().Done():
+			}
+		}
+		succeed(w, "body")
+	}, "s-0", "s-1")
+	reply := set.dispatch(routing.Route{MaxAttempts: 2, TargetLatencyMs: 50})
+	if reply.Status != http.StatusOK || set.requests.Load() != 2 {
+		t.Fatalf("status %d, %d requests", reply.Status, set.requests.Load())
+	}
+	close(goOn)
+	waitFor(t, "the first attempt ends", completed.Load)
+}
--- a/internal/scatter/dispatcher.go
+++ b/internal/scatter/dispatcher.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,9 +19,9 @@
 	RetryBudget *retrybudget.Budget
 
 	// AwaitRate, if set, waits until a call may be made to a service whose rate is
-	// limited. If it may not be made before the deadline, it returns false and the
-	// time after which the client may retry.
-	AwaitRate func(service string, deadline time.Time) (ok bool, retryAfter time.Duration)
+	// limited. If it may not be made before the deadline, or ctx is done before, it
+	// returns false and the time after which the client may retry.
+	AwaitRate func(ctx context.Context, service string, deadline time.Time) (ok bool, retryAfter time.Duration)
 
 	// Latencies, if set, gets the latencies of requests on routes that have a
 	// lookup class. ShadowShare is the share of them that is sent to a second
@@ -69,7 +70,13 @@
 // Dispatch carries a request that arrived at start to the endpoints of its route
 // and returns the reply. onExecuted, if given, is called once if an endpoint
 // executed the request or may have, with the time at which that endpoint got it.
+//
+// ctx is canceled when the client has left, and must not be canceled after Dispatch has
+// returned: calls that are still under way then go on. Once it is canceled no further call
+// is made. Calls under way are given up if the request is idempotent; otherwise they go on to
+// their end, since a request that is broken off may have been executed or not.
 func (d *Dispatcher) Dispatch(
+	ctx context.Context,
 	route *routing.CompiledRoute, request *upstream.Request, start time.Time, onExecuted func(at time.Time),
 ) *Reply {
 	isFanOut := route.IsFanOut()
@@ -91,11 +98,12 @@
 	}
 	request.NonIdempotent = !route.Idempotent()
 	request.FanOut = isFanOut
-	f := d.newFanOut(route, request, services, start)
+	f := d.newFanOut(ctx, route, request, services, start)
 	f.required = required
 	f.onExecuted = onExecuted
 	f.startAll()
 	f.run()
+	close(f.ended)
 	f.markPossiblyExecuted()
 	if isFanOut {
 		return f.mergedReply()
--- a/internal/scatter/fanout.go
+++ b/internal/scatter/fanout.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"context"
 	"time"
 
 	"comethold/internal/routing"
@@ -24,6 +25,8 @@
 // fanOut is one request under way. It belongs to the goroutine that runs it.
 type fanOut struct {
 	*Dispatcher
+	client  context.Context // canceled when the client has left
+	calls   context.Context // canceled when the calls under way are given up
 	route   *routing.CompiledRoute
 	request *upstream.Request
 	latency *latencyHistogram // of the route
@@ -35,6 +38,7 @@
 
 	shards         []shard
 	results        chan *attempt // attempts that ended
+	ended          chan struct{} // closed when no more results are read
 	completeShards int           // shards that have a response
 	openShards     int           // shards that may still get one
 	nextDue        time.Time     // when to run handleDue next; never after the earliest hedge or retry
@@ -45,11 +49,13 @@
 }
 
 func (d *Dispatcher) newFanOut(
-	route *routing.CompiledRoute, request *upstream.Request, services []string, start time.Time,
+	client context.Context, route *routing.CompiledRoute, request *upstream.Request, services []string, start time.Time,
 ) *fanOut {
 	latency := d.histogram(route.Name)
 	f := &fanOut{
 		Dispatcher: d,
+		client:     client,
+		calls:      client,
 		route:      route,
 		request:    request,
 		latency:    latency,
@@ -58,8 +64,12 @@
 		cutoff:     start.Add(route.TargetLatency - deliveryMargin),
 		shards:     make([]shard, len(services)),
 		results:    make(chan *attempt, len(services)*(route.AttemptLimit+maxUnsentAttempts)),
+		ended:      make(chan struct{}),
 		openShards: len(services),
 	}
+	if request.NonIdempotent {
+		f.calls = context.WithoutCancel(client)
+	}
 	sampled := d.samplesLatency(route)
 	for i, service := range services {
 		f.shards[i].service = service
@@ -77,9 +87,10 @@
 	}
 }
 
-// run handles results and timers until the reply can be made. A result changes one
-// shard only; handleDue visits all shards, but only when one of them is due.
+// run handles results and timers until the reply can be made, or the client has left. A
+// result changes one shard only; handleDue visits all shards, but only when one of them is due.
 func (f *fanOut) run() {
+	clientLeft := f.client.Done()
 	timer := time.NewTimer(idleTimerInterval)
 	defer timer.Stop()
 	var armedFor time.Time
@@ -101,10 +112,20 @@
 			f.handleWaitingResults()
 		case <-timer.C:
 			armedFor = time.Time{}
+		case <-clientLeft:
+			if !f.awaitsExecution() {
+				return
+			}
+			clientLeft = nil
 		}
 	}
 }
 
+// awaitsExecution reports whether a call is under way that goes on though the client has left.
+func (f *fanOut) awaitsExecution() bool {
+	return f.request.NonIdempotent && f.shards[0].pendingAttempts > 0
+}
+
 // handleWaitingResults handles the results that are already in the channel.
 func (f *fanOut) handleWaitingResults() {
 	for {
--- a/internal/scatter/retry.go
+++ b/internal/scatter/retry.go
@@ -25,8 +25,12 @@
 
 // reserve reserves an endpoint for one more attempt, or returns nil. All attempts
 // reserve here, which keeps an invariant: a request that is not idempotent gets an
-// endpoint only if no other endpoint has the request or may have executed it.
+// endpoint only if no other endpoint has the request or may have executed it. A client that
+// has left gets no more attempts.
 func (f *fanOut) reserve(s *shard) *upstream.Endpoint {
+	if f.client.Err() != nil {
+		return nil
+	}
 	if !f.request.Retryable(s.worstOutcome) || f.request.NonIdempotent && s.pendingAttempts > 0 {
 		return nil
 	}
--- a/internal/simulation/plane_clients_test.go
+++ b/internal/simulation/plane_clients_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"comethold/internal/simulation"
@@ -77,6 +78,23 @@
 	return nil
 }
 
+// leave is `leave NAME`: the client closes that connection, whatever it waits for.
+func (p *plane) leave(c simulation.Command) error { return p.clients.conns[c.Word(0)].Close() }
+
+// wantWorking is `want-working N ID,...`: on how many requests these leafs work now.
+func (p *plane) wantWorking(c simulation.Command) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	working := 0
+	for id := range strings.SplitSeq(c.Word(1), ",") {
+		working += p.leafs[id].working
+	}
+	if working != c.Int(0) {
+		return fmt.Errorf("%s work on %d requests", c.Word(1), working)
+	}
+	return nil
+}
+
 // shutDownCommand is `shutdown [after=MS]`: sends SIGTERM and waits until all requests are answered
 // and the process ends, MS later.
 func (p *plane) shutDownCommand(c simulation.Command) error {
--- a/internal/simulation/plane_leaf_test.go
+++ b/internal/simulation/plane_leaf_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -28,6 +29,7 @@
 	modeUses int // how many answers follow the mode before the leaf answers normally; 0: all
 	runs     int
 	calls    int
+	working  int // requests that it works on now
 }
 
 // dial connects the proxy to a leaf.
@@ -82,8 +84,7 @@
 		call := c.begin(request)
 		isAnswered, goOn := c.answerWithoutRunning(call)
 		if !isAnswered {
-			time.Sleep(call.workTime)
-			goOn = c.answerByMode(call)
+			goOn = c.work(call) && c.answerByMode(call)
 			c.idleSince = time.Now()
 		}
 		if !goOn {
@@ -92,6 +93,27 @@
 	}
 }
 
+// work takes the time of a request. It reports false if the connection ends before: the leaf
+// then drops the request.
+func (c *leafConn) work(call leafCall) (goOn bool) {
+	c.countWorking(1)
+	defer c.countWorking(-1)
+	end := time.Now().Add(call.workTime)
+	_ = c.conn.SetReadDeadline(end)
+	_, err := c.reader.Peek(1)
+	_ = c.conn.SetReadDeadline(time.Time{})
+	if err == nil {
+		time.Sleep(time.Until(end)) // the next request is there already
+	}
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func (c *leafConn) countWorking(change int) {
+	c.plane.mu.Lock()
+	defer c.plane.mu.Unlock()
+	c.leaf.working += change
+}
+
 // begin counts a request and works out how it is answered.
 func (c *leafConn) begin(request *http.Request) leafCall {
 	p := c.plane
--- a/internal/simulation/plane_test.go
+++ b/internal/simulation/plane_test.go
@@ -231,6 +231,8 @@
 	"send":               (*plane).send,
 	"send-async":         (*plane).sendAsync,
 	"send-slowly":        (*plane).sendSlowly,
+	"leave":              (*plane).leave,
+	"want-working":       (*plane).wantWorking,
 	"shutdown":           (*plane).shutDownCommand,
 	"estimates":          (*plane).enableEstimates,
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"comethold/internal/logging"
@@ -55,18 +57,24 @@
 
 // Call sends a request to an endpoint that Reserve returned, and ends the
 // reservation. The request names the endpoint, so that another endpoint at the same
-// address rejects it. The error wraps ErrNotSent, ErrResponseLost or ErrTimeout.
-func (m *ClusterManager) Call(endpoint *Endpoint, request *Request) (*Response, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
-	defer cancel()
-	conn, err := m.connect(ctx, endpoint, request.NonIdempotent)
+// address rejects it. When ctx is canceled, the connection is closed, by which the
+// endpoint learns that nobody waits for the response. The error wraps ErrNotSent,
+// ErrResponseLost, ErrTimeout or ErrCanceled.
+func (m *ClusterManager) Call(ctx context.Context, endpoint *Endpoint, request *Request) (*Response, error) {
+	conn, err := m.connect(ctx, endpoint, request)
 	start := time.Now()
 	if err != nil {
-		m.recordCall(endpoint, endedCall{result: callFailed, err: err, start: start})
+		err = withCancellation(ctx, err)
+		m.recordCall(endpoint, endedCall{result: classifyCall(nil, err), err: err, start: start})
 		return nil, err
 	}
+	stopWatching := context.AfterFunc(ctx, conn.close)
 	response, reuse, err := conn.roundTrip(request, endpoint.info.Load().ID)
 	duration := time.Since(start)
+	if !stopWatching() {
+		reuse = false
+		err = withCancellation(ctx, err)
+	}
 	if reuse {
 		endpoint.pool.put(conn)
 	} else {
@@ -76,14 +84,22 @@
 	return response, err
 }
 
-// connect takes an idle connection of the endpoint or opens a new one.
-func (m *ClusterManager) connect(ctx context.Context, endpoint *Endpoint, nonIdempotent bool) (*connection, error) {
+// withCancellation makes the error of a call wrap ErrCanceled if the caller gave the call up.
+func withCancellation(ctx context.Context, err error) error {
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrCanceled, err)
+}
+
+// connect takes an idle connection of the endpoint or opens a new one by the request's deadline.
+func (m *ClusterManager) connect(ctx context.Context, endpoint *Endpoint, request *Request) (*connection, error) {
 	for {
 		conn := endpoint.pool.take()
 		if conn == nil {
-			return m.dialer.connect(ctx, endpoint.info.Load())
+			return m.dialer.connect(ctx, endpoint.info.Load(), request.Deadline)
 		}
-		if conn.reusable(nonIdempotent, time.Now()) {
+		if conn.reusable(request.NonIdempotent, time.Now()) {
 			return conn, nil
 		}
 		if conn.unexpectedBytes {
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -97,7 +97,7 @@
 		}
 		id := fmt.Sprint("q", i)
 		request := &Request{Method: "GET", Target: "/", Host: "h", ID: id, Deadline: time.Now().Add(time.Second)}
-		response, err := m.Call(endpoint, request)
+		response, err := m.Call(t.Context(), endpoint, request)
 		if err == nil && string(response.Body) != id {
 			t.Fatalf("%s was answered %q", id, response.Body)
 		}
@@ -168,7 +168,7 @@
 			}
 			var got []string
 			for i := range c.want {
-				got = append(got, c.send(m, fmt.Sprint("q", i)))
+				got = append(got, c.send(t.Context(), m, fmt.Sprint("q", i)))
 			}
 			if !slices.Equal(got, c.want) {
 				t.Errorf("got %v, want %v", got, c.want)
@@ -191,12 +191,12 @@
 }
 
 // send sends a request and returns what became of it.
-func (c outcomeCase) send(m *ClusterManager, id string) string {
+func (c outcomeCase) send(ctx context.Context, m *ClusterManager, id string) string {
 	endpoint := m.endpoints["l"]
 	m.mu.Lock()
 	endpoint.activeCalls++
 	m.mu.Unlock()
-	response, err := m.Call(endpoint, &Request{
+	response, err := m.Call(ctx, endpoint, &Request{
 		Method: cmp.Or(c.method, "GET"), Target: "/", Host: "h", FanOut: c.fanOut, NonIdempotent: c.nonIdempotent,
 		ID: id, Deadline: time.Now().Add(150 * time.Millisecond),
 	})
--- a/internal/upstream/dialer.go
+++ b/internal/upstream/dialer.go
@@ -31,10 +31,15 @@
 	latency zoneLatency
 }
 
-// connect opens a connection to an endpoint. Its error wraps ErrNotSent.
-func (d *dialer) connect(ctx context.Context, endpoint *distribution.Endpoint) (*connection, error) {
+// connect opens a connection to an endpoint, by the deadline. Its error wraps ErrNotSent.
+func (d *dialer) connect(
+	ctx context.Context, endpoint *distribution.Endpoint, deadline time.Time,
+) (*connection, error) {
 	start := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	if latest := start.Add(dialTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	dialCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	conn, err := d.dial(dialCtx, "tcp4", endpoint.Addr)
 	if err != nil {
--- a/internal/upstream/dialer_test.go
+++ b/internal/upstream/dialer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"comethold/internal/distribution"
 )
@@ -35,7 +36,7 @@
 func TestDialerErrors(t *testing.T) {
 	refused := errors.New("refused")
 	d := dialer{dial: func(context.Context, string, string) (net.Conn, error) { return nil, refused }}
-	_, err := d.connect(context.Background(), &distribution.Endpoint{Addr: "x", Zone: "a"})
+	_, err := d.connect(context.Background(), &distribution.Endpoint{Addr: "x", Zone: "a"}, time.Now().Add(time.Second))
 	if !errors.Is(err, ErrNotSent) || !errors.Is(err, refused) {
 		t.Errorf("got %v", err)
 	}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -13,7 +13,7 @@
 //	if endpoint == nil {
 //		return errNoEndpoint
 //	}
-//	response, err := clusters.Call(endpoint, request)
+//	response, err := clusters.Call(ctx, endpoint, request)
 //	outcome := upstream.OutcomeOf(response, err)
 //
 // The work is divided among types with one job each:
--- a/internal/upstream/outlier.go
+++ b/internal/upstream/outlier.go
@@ -68,6 +68,7 @@
 	callAnswered               // a response that is neither a success nor a server error
 	callServerError            // a server error
 	callFailed                 // no response
+	callCanceled               // given up by the caller, which says nothing of the endpoint
 )
 
 // endedCall is a call that ended, with its result and times.
@@ -80,6 +81,8 @@
 
 func classifyCall(response *Response, err error) callResult {
 	switch {
+	case errors.Is(err, ErrCanceled):
+		return callCanceled
 	case err != nil:
 		return callFailed
 	case isSuccessStatus(response.Status):
@@ -136,6 +139,7 @@
 		if shouldEjectFailed(health, ended) {
 			d.eject(endpoint, ended.err.Error())
 		}
+	case callCanceled:
 	}
 }
 
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -63,9 +63,7 @@
 		Host:     endpoint.info.Load().Addr,
 		Deadline: time.Now().Add(probeTimeout),
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), request.Deadline)
-	defer cancel()
-	conn, err := m.connect(ctx, endpoint, request.NonIdempotent)
+	conn, err := m.connect(context.Background(), endpoint, request)
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -56,7 +56,7 @@
 				return
 			}
 			request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Deadline: time.Now().Add(time.Second)}
-			if response, err := m.Call(endpoint, request); err != nil || response.Status != http.StatusOK {
+			if response, err := m.Call(t.Context(), endpoint, request); err != nil || response.Status != http.StatusOK {
 				t.Fatalf("%+v, %v", response, err)
 			}
 			if report := <-reports; !report.Healthy {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -13,6 +13,9 @@
 	// ErrResponseLost means that the request may have been executed, but no
 	// complete response was received.
 	ErrResponseLost = errors.New("upstream: the response was lost")
+	// ErrCanceled means that the caller gave the call up. The request may have been
+	// executed, unless the error wraps ErrNotSent too.
+	ErrCanceled = errors.New("upstream: the call was given up")
 	// ErrTimeout means that the request may have been executed, but its deadline
 	// passed.
 	ErrTimeout = errors.New("upstream: the endpoint did not answer in time")
--- a/internal/upstream/response_bounds_test.go
+++ b/internal/upstream/response_bounds_test.go
@@ -47,7 +47,7 @@
 				t.Fatal("no endpoint")
 			}
 			request := &Request{Method: "GET", Target: "/", Host: "h", ID: "1", Deadline: time.Now().Add(2 * time.Second)}
-			if _, err := m.Call(endpoint, request); !errors.Is(err, ErrResponseLost) {
+			if _, err := m.Call(t.Context(), endpoint, request); !errors.Is(err, ErrResponseLost) {
 				t.Errorf("the call ends with %v", err)
 			}
 			if n := sent.Load(); n > socketBuffers {
@@ -68,7 +68,7 @@
 			t.Fatal("no endpoint")
 		}
 		request := &Request{Method: "GET", Target: "/", Host: "h", ID: "1", Deadline: time.Now().Add(5 * time.Second)}
-		response, err := m.Call(endpoint, request)
+		response, err := m.Call(t.Context(), endpoint, request)
 		if err != nil || string(response.Body) != "ok" {
 			t.Fatalf("%v", err)
 		}
