Distributor: nodes of zones like z1 and z11 don't share an update

Cause: the key under which an encoded update is kept joined zone and version without a separator.

Evidence: TestUpdateKey fails without the change: zone z1 with version 12 and zone z11 with version 2 have the key falsez112 {0 0} 0 0 0 0 0 false

Change: the zone is quoted in the key.

--- a/internal/controlplane/distributor/distributor_test.go
+++ b/internal/controlplane/distributor/distributor_test.go
@@ -125,3 +125,19 @@
 		t.Errorf("%d digests are known", len(digests.logIndexes))
 	}
 }
+
+// TestUpdateKey guards against nodes of one zone that get the update of another.
+func TestUpdateKey(t *testing.T) {
+	key := func(zone string, version uint64) string {
+		return updateKey(&distribution.UpdateRequest{
+			Node: distribution.Node{Zone: zone},
+			Held: distribution.HeldVersions{ConfigVersion: version},
+		}, false)
+	}
+	if key("z1", 12) == key("z11", 2) {
+		t.Errorf("zone z1 with version 12 and zone z11 with version 2 have the key %s", key("z1", 12))
+	}
+	if key("z1", 12) != key("z1", 12) {
+		t.Error("the same callers have different keys")
+	}
+}
--- a/internal/controlplane/distributor/updates.go
+++ b/internal/controlplane/distributor/updates.go
@@ -55,11 +55,13 @@
 	return encoded, d.changed
 }
 
-// updateKey returns a key that is equal for callers that need the same update.
+// updateKey returns a key that is equal for callers that need the same update, and for no others:
+// the zone is quoted, since a digit at its end would run into the version.
 func updateKey(request *distribution.UpdateRequest, isStale bool) string {
 	held := &request.Held
 	var key strings.Builder
-	fmt.Fprint(&key, isStale, request.Node.Zone, held.ConfigVersion, held.EndpointRevision,
+	fmt.Fprintf(&key, "%t %q ", isStale, request.Node.Zone)
+	fmt.Fprint(&key, held.ConfigVersion, held.EndpointRevision,
 		held.NodesIndex, held.DataPlaneCount, held.PurgeIndex, held.NotificationIndex,
 		held.MarksDigest, held.MarkIndexes != nil)
 	for _, indexName := range slices.Sorted(maps.Keys(held.MarkIndexes)) {
