--- a/internal/controlclient/update_stream_test.go
+++ b/internal/controlclient/update_stream_test.go
@@ -105,16 +105,9 @@
 	}
 }
 
-// TestCloseDuringFirstPolls: a node that ends while its first polls get no answer ends at once:
-// it waits for their goroutines, not for their time-outs.
-func TestCloseDuringFirstPolls(t *testing.T) {
-	polled := make(chan struct{}, 16)
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body) // only then the end of the connection is noticed
-		polled <- struct{}{}
-		<-r.Context().Done()
-	}))
-	defer server.Close()
+// newClientOf makes a client that has a server as its only control node.
+func newClientOf(t *testing.T, server *httptest.Server) *Client {
+	t.Helper()
 	address, ok := server.Listener.Addr().(*net.TCPAddr)
 	if !ok {
 		t.Fatalf("the server has the address %v", server.Listener.Addr())
@@ -127,7 +120,20 @@
 		InternalPortRange: []int{address.Port, address.Port + 3},
 		SeedNodes:         []string{"127.0.0.1:1"},
 	}
-	c := New(Options{Settings: set, Log: logging.Nop(), Program: settings.DataPlane, Network: rpc.TCPNetwork})
+	return New(Options{Settings: set, Log: logging.Nop(), Program: settings.DataPlane, Network: rpc.TCPNetwork})
+}
+
+// TestCloseDuringFirstPolls: a node that ends while its first polls get no answer ends at once:
+// it waits for their goroutines, not for their time-outs.
+func TestCloseDuringFirstPolls(t *testing.T) {
+	polled := make(chan struct{}, 16)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then the end of the connection is noticed
+		polled <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	c := newClientOf(t, server)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -164,19 +170,7 @@
 		}
 	}))
 	defer server.Close()
-	address, ok := server.Listener.Addr().(*net.TCPAddr)
-	if !ok {
-		t.Fatalf("the server has the address %v", server.Listener.Addr())
-	}
-	set := &settings.Settings{
-		NodeName:          "n1",
-		IPAddress:         "127.0.0.9",
-		AvailabilityZone:  "a",
-		RegionName:        "r",
-		InternalPortRange: []int{address.Port, address.Port + 3},
-		SeedNodes:         []string{"127.0.0.1:1"},
-	}
-	c := New(Options{Settings: set, Log: logging.Nop(), Program: settings.DataPlane, Network: rpc.TCPNetwork})
+	c := newClientOf(t, server)
 	defer c.Close()
 	go func() { _ = c.RunUpdates() }()
 	for end := time.Now().Add(3 * pollTimeout); c.RouteTable() == nil; time.Sleep(10 * time.Millisecond) {
