Upstream: bodies that are read at the same time share a quarter of memoryMb

Callers would see: a proxy that is killed for its memory while leafs send large bodies, several at a time.

Cause: the body of an answer was bounded by 32 MB, but nothing bounded the bodies together.

Change: boundedio.Budget counts the buffers above 64 KiB; an answer that doesn't fit into a quarter of memoryMb is lost. A large buffer grows only as bytes arrive, also where the answer states its length.

After: TestEndlessBodies, TestBudget and TestReadAll pass. The linter's finding in TestUpdateKey is mended (the check is the same).

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"comethold/internal/boundedio"
 	"comethold/internal/distribution"
 	"comethold/internal/logging"
 	"comethold/internal/quota"
@@ -28,6 +29,10 @@
 	upstreamSilenceTimeout = 5 * time.Second
 )
 
+// bodyMemoryDivisor is the divisor of a process's memory that gives how much of it the bodies of
+// endpoints' responses may take while they are read.
+const bodyMemoryDivisor = 4
+
 // Client is one node's client of the control plane. Its exported fields are set by New and
 // must not be changed.
 type Client struct {
@@ -61,6 +66,9 @@
 	locality := upstream.Locality{Node: set.NodeName, Zone: set.AvailabilityZone, RegionOf: set.RegionOf}
 	dial := upstream.DialFunc(o.Network(upstreamDialTimeout, upstreamSilenceTimeout))
 	upstreams := upstream.NewClusterManager(locality, dial, o.Log)
+	if memoryMb := set.Limits.MemoryMb; memoryMb > 0 {
+		upstreams.BodyMemory = boundedio.NewBudget((memoryMb << 20) / bodyMemoryDivisor)
+	}
 	budget := retrybudget.New(retrybudget.Config{
 		Ratio:  set.Bounds.RetryBudgetRatio,
 		Slack:  set.Bounds.RetryBudgetSlack,
--- a/internal/controlplane/distributor/distributor_test.go
+++ b/internal/controlplane/distributor/distributor_test.go
@@ -137,7 +137,7 @@
 	if key("z1", 12) == key("z11", 2) {
 		t.Errorf("zone z1 with version 12 and zone z11 with version 2 have the key %s", key("z1", 12))
 	}
-	if key("z1", 12) != key("z1", 12) {
-		t.Error("the same callers have different keys")
+	if first, second := key("z1", 12), key("z1", 12); first != second {
+		t.Errorf("the same callers have the keys %s and %s", first, second)
 	}
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	stopWatching := context.AfterFunc(ctx, conn.close)
-	response, reuse, err := conn.roundTrip(request, endpoint.info.Load().ID)
+	response, reuse, err := conn.roundTrip(request, endpoint.info.Load().ID, m.BodyMemory)
 	duration := time.Since(start)
 	if !stopWatching() {
 		reuse = false
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"comethold/internal/boundedio"
 	"comethold/internal/distribution"
 	"comethold/internal/logging"
 )
@@ -27,6 +28,9 @@
 	// OnHealthChange is called when this node ejects or reinstates an endpoint. It
 	// runs under mu and must not block. It is set before the first call.
 	OnHealthChange func(distribution.HealthReport)
+	// BodyMemory bounds the bodies of responses that are being read. It is set before the
+	// first call; nil sets no bound.
+	BodyMemory *boundedio.Budget
 
 	mu               sync.Mutex // guards the fields below and those of clusters and endpoints
 	clusters         map[string]*Cluster
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -68,6 +68,6 @@
 		return false
 	}
 	defer conn.close()
-	response, _, err := conn.roundTrip(request, "")
+	response, _, err := conn.roundTrip(request, "", m.BodyMemory)
 	return err == nil && response.Header.Get(HeaderInstanceID) == endpoint.info.Load().ID
 }
--- a/internal/upstream/response_bounds_test.go
+++ b/internal/upstream/response_bounds_test.go
@@ -3,10 +3,14 @@
 import (
 	"errors"
 	"net"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"comethold/internal/boundedio"
 )
 
 // startEndlessLeaf starts a leaf that answers with a text and then repeats another one until the
@@ -74,3 +78,36 @@
 		}
 	}
 }
+
+// TestEndlessBodies guards against several answers with large bodies at a time that together take
+// a proxy over its memory.
+func TestEndlessBodies(t *testing.T) {
+	const (
+		calls         = 12
+		memory        = 8 << 20
+		socketBuffers = calls * 8 << 20
+	)
+	chunk := "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n"
+	addr, sent := startEndlessLeaf(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk)
+	m := managerOf(addr)
+	m.BodyMemory = boundedio.NewBudget(memory)
+	endpoint := m.endpoints["l"]
+	m.mu.Lock()
+	endpoint.activeCalls += calls
+	m.mu.Unlock()
+	var running sync.WaitGroup
+	for i := range calls {
+		running.Go(func() {
+			request := &Request{
+				Method: "GET", Target: "/", Host: "h", ID: strconv.Itoa(i), Deadline: time.Now().Add(5 * time.Second),
+			}
+			if _, err := m.Call(t.Context(), endpoint, request); !errors.Is(err, ErrResponseLost) {
+				t.Errorf("the call ends with %v", err)
+			}
+		})
+	}
+	running.Wait()
+	if n := sent.Load(); n > memory+socketBuffers {
+		t.Errorf("%d bytes of bodies were taken in", n)
+	}
+}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"comethold/internal/boundedio"
 )
 
 const (
@@ -32,7 +33,9 @@
 // not empty, is sent in a header, so that another endpoint at the same address rejects
 // the request. reuse reports whether the connection may carry another request. Errors
 // wrap ErrTimeout or ErrResponseLost.
-func (c *connection) roundTrip(request *Request, expectedInstance string) (response *Response, reuse bool, err error) {
+func (c *connection) roundTrip(
+	request *Request, expectedInstance string, bodies *boundedio.Budget,
+) (response *Response, reuse bool, err error) {
 	start := time.Now()
 	_ = c.conn.SetDeadline(request.Deadline) // fails only on a broken connection; so does the write below
 	if err := c.writeRequest(request, expectedInstance, request.Deadline.Sub(start)); err != nil {
@@ -42,7 +45,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	body, err := readBody(received, request.Method)
+	body, err := readBody(received, request.Method, bodies)
 	if err != nil {
 		return nil, false, err
 	}
@@ -115,27 +118,18 @@
 }
 
 // readBody reads the whole body. A body without a length or chunks is an error.
-func readBody(received *http.Response, method string) ([]byte, error) {
+func readBody(received *http.Response, method string, bodies *boundedio.Budget) ([]byte, error) {
 	bodiless := method == http.MethodHead ||
 		received.StatusCode == http.StatusNoContent ||
 		received.StatusCode == http.StatusNotModified
-	var body []byte
-	var err error
-	if !bodiless && received.ContentLength > 0 && received.ContentLength <= maxResponseBytes {
-		body = make([]byte, received.ContentLength)
-		_, err = io.ReadFull(received.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
-	}
+	expected := int(min(received.ContentLength, maxResponseBytes)) + 1 // one more, to read its end
+	body, err := bodies.ReadAll(received.Body, expected, maxResponseBytes)
 	if err == nil {
 		err = received.Body.Close()
 	}
 	if err != nil {
 		return nil, wrapIOError(err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, fmt.Errorf("%w: it is too large", ErrResponseLost)
-	}
 	chunked := len(received.TransferEncoding) > 0
 	if received.ContentLength < 0 && !chunked && !bodiless {
 		// Only the close of the connection ends it: a truncated body would look complete.
