Placement: the mover plans as soon as it holds the lease

Cause: the owner of the placement lease checked and planned every 0.4 s, so after the loss of the former owner up to 0.4 s of catchUpS went by unused.

Change: the lease is checked every 0.1 s, and the first plan is made when it is acquired; the plans after it are as far apart as before.

--- a/internal/controlplane/placement/mover.go
+++ b/internal/controlplane/placement/mover.go
@@ -20,7 +20,7 @@
 
 const (
 	planInterval  = 400 * time.Millisecond
-	retryInterval = planInterval / 4 // while moves are planned
+	checkInterval = planInterval / 4 // of the lease, and between plans while moves are needed
 	moveTimeout   = 1200 * time.Millisecond
 	// minReplicaAge is how long a replica must be open before moves of its cell are planned.
 	minReplicaAge = time.Second
@@ -68,19 +68,27 @@
 func NewMover(options Options) *Mover { return &Mover{options: options} }
 
 // Run moves voters while this node holds the lease, until ctx is done. It completes the moves
-// under way.
+// under way. It plans as soon as it holds the lease: the owner before may have been lost.
 func (m *Mover) Run(ctx context.Context) {
-	pause := planInterval
+	var nextPlanAt time.Time
 	for {
 		select {
-		case <-time.After(pause):
+		case <-time.After(checkInterval):
 		case <-ctx.Done():
 			return
 		}
-		pause = planInterval
 		_, held := m.options.Lease.Held()
-		if held && m.options.Host.QuorumContactAge() <= replicahost.StaleAfter && m.moveVoters(context.WithoutCancel(ctx)) {
-			pause = retryInterval
+		if !held {
+			nextPlanAt = time.Time{}
+			continue
+		}
+		now := time.Now()
+		if now.Before(nextPlanAt) {
+			continue
+		}
+		nextPlanAt = now.Add(planInterval)
+		if m.options.Host.QuorumContactAge() <= replicahost.StaleAfter && m.moveVoters(context.WithoutCancel(ctx)) {
+			nextPlanAt = now
 		}
 	}
 }
