Leases: a node without a vote releases the lease that it holds

Cause: a machine that was away for just over the time after which its vote is given away finds itself a voter on its disk and acquires its lease anew; then it learns that it has no vote, and neither renews nor releases it, so the others wait three lease times.

Change: a node without a vote releases the lease that it holds.

--- a/internal/controlplane/lease/lease.go
+++ b/internal/controlplane/lease/lease.go
@@ -183,6 +183,9 @@
 
 func (l *Lease) acquireOrRenew(ctx context.Context) {
 	if !l.cell.IsVoter() {
+		// It may have lost its vote while it was away, and acquired the lease again before
+		// it learned of that. Others need not wait until the lease expires.
+		l.release(ctx)
 		return
 	}
 	record, raw := l.readRecord()
--- a/internal/controlplane/lease/lease_test.go
+++ b/internal/controlplane/lease/lease_test.go
@@ -17,18 +17,20 @@
 
 // sharedCell is the meta cell as several nodes see it.
 type sharedCell struct {
-	mu     sync.Mutex // guards the fields below
-	state  *schematest.Cell
-	cutOff map[paxos.ReplicaID]bool // nodes whose proposals fail
-	lost   map[paxos.ReplicaID]bool // replicas that are gone for good
+	mu       sync.Mutex // guards the fields below
+	state    *schematest.Cell
+	cutOff   map[paxos.ReplicaID]bool // nodes whose proposals fail
+	lost     map[paxos.ReplicaID]bool // replicas that are gone for good
+	voteless map[paxos.ReplicaID]bool // replicas that have lost their vote
 }
 
 func newSharedCell(t *testing.T) *sharedCell {
 	t.Helper()
 	return &sharedCell{
-		state:  schematest.NewCell(t),
-		cutOff: map[paxos.ReplicaID]bool{},
-		lost:   map[paxos.ReplicaID]bool{},
+		state:    schematest.NewCell(t),
+		cutOff:   map[paxos.ReplicaID]bool{},
+		lost:     map[paxos.ReplicaID]bool{},
+		voteless: map[paxos.ReplicaID]bool{},
 	}
 }
 
@@ -38,7 +40,11 @@
 	self paxos.ReplicaID
 }
 
-func (v nodeView) IsVoter() bool { return true }
+func (v nodeView) IsVoter() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.voteless[v.self]
+}
 
 func (v nodeView) Get(_, key string) (paxos.Value, bool) {
 	v.mu.Lock()
@@ -200,3 +206,21 @@
 		}
 	})
 }
+
+// TestLeaseOfFormerVoter guards against a lease that nobody holds until it expires, since its
+// holder has lost its vote and renews it no more.
+func TestLeaseOfFormerVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newSharedCell(t)
+		a, b, _, stop := startNodes(t.Context(), cell)
+		defer stop()
+		waitHeld(t, a)
+		cell.set(cell.voteless, "a")
+		if took := waitHeld(t, b); took > testDuration/2 {
+			t.Errorf("it is taken after %v", took)
+		}
+		if _, held := a.Held(); held {
+			t.Error("both hold it")
+		}
+	})
+}
