--- a/internal/simulation/plane_leaf_test.go
+++ b/internal/simulation/plane_leaf_test.go
@@ -18,6 +18,9 @@
 // forgetAfter is how long a leaf of the mode "forget" knows an idle connection.
 const forgetAfter = 300 * time.Millisecond
 
+// endlessChunk is how many bytes of an endless answer are written at a time.
+const endlessChunk = 64 << 10
+
 // recordBytes is the length of a record in an answer.
 const recordBytes = 16
 
@@ -205,7 +208,7 @@
 	case "extra":
 		c.write(ok, call.stamp, call.body)
 		c.write(ok, "X-Comethold-Server-Stamp: alien\r\n", "alien")
-	case "cut", "reset", "stall", "closing", "bye":
+	case "cut", "reset", "stall", "closing", "bye", "endless-head", "endless-body":
 		c.endByMode(call)
 		return false
 	default:
@@ -230,6 +233,20 @@
 	case "bye": // it ends when the next request is being written
 		c.write("200 OK", call.stamp, call.body)
 		_, _ = c.reader.Peek(1)
+	case "endless-head":
+		c.writeEndlessly("HTTP/1.1 200 OK\r\n"+call.stamp+"X-Pad: ", strings.Repeat("x", endlessChunk))
+	case "endless-body":
+		c.writeEndlessly("HTTP/1.1 200 OK\r\n"+call.stamp+"Transfer-Encoding: chunked\r\n\r\n",
+			fmt.Sprintf("%x\r\n%s\r\n", endlessChunk, strings.Repeat("x", endlessChunk)))
 	case "reset":
 	}
 }
+
+// writeEndlessly writes a text, and then another one again and again until the proxy closes the
+// connection.
+func (c *leafConn) writeEndlessly(begin, repeated string) {
+	_, err := io.WriteString(c.conn, begin)
+	for err == nil {
+		_, err = io.WriteString(c.conn, repeated)
+	}
+}
