Testbed: processes, settings and the platform's list stand in one package

Change: internal/testbed writes settings from settings.Settings, starts, signals and ends programs, and serves the platform's list; the load test uses it.

--- a/internal/loadtest/cluster.go
+++ b/internal/loadtest/cluster.go
@@ -7,14 +7,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"time"
 
 	"comethold/internal/logging"
 	"comethold/internal/proxy"
-	"comethold/internal/settings"
+	"comethold/internal/testbed"
 )
 
 const (
@@ -38,14 +37,12 @@
 	binary      string
 	basePort    int
 	seedNodes   []string
-	processes   []*exec.Cmd // control nodes first, then real proxies
+	processes   []*testbed.Process // control nodes first, then real proxies
+	platform    testbed.Platform
 	hollowNodes []*hollowNode
 	servers     []*http.Server
 	running     sync.WaitGroup // goroutines of servers and hollow nodes
 	version     uint64         // of the newest configuration
-
-	mu        sync.Mutex // guards the field below
-	instances []instance // the platform's list
 }
 
 // hollowNode is a proxy that sends no requests to leafs.
@@ -70,27 +67,22 @@
 		_ = server.Close()
 	}
 	for _, process := range c.processes {
-		_ = process.Process.Kill()
-		_ = process.Wait() // the error only says that it was killed
+		process.Kill()
 	}
 	c.running.Wait()
 }
 
 // startProcess runs a program of the binary as a machine, with one processor.
 func (c *Cluster) startProcess(ctx context.Context, program string, m machine) error {
-	if m.disk {
-		if err := os.MkdirAll(filepath.Join(c.dir, m.name), 0o755); err != nil {
-			return err
-		}
-	}
-	path := filepath.Join(c.dir, m.name+".toml")
-	if err := os.WriteFile(path, []byte(c.settingsFile(m)), 0o600); err != nil {
-		return err
-	}
-	process := exec.CommandContext(ctx, c.binary, program)
-	process.Env = append(os.Environ(), settings.Env+"="+path, "GOMAXPROCS=1")
-	process.Stderr = os.Stderr
-	if err := process.Start(); err != nil {
+	process, err := testbed.Start(ctx, testbed.Command{
+		Binary:       c.binary,
+		Program:      program,
+		Settings:     c.settingsOf(m),
+		SettingsFile: filepath.Join(c.dir, m.name+".toml"),
+		Environment:  []string{"GOMAXPROCS=1"},
+		Log:          os.Stderr,
+	})
+	if err != nil {
 		return err
 	}
 	c.processes = append(c.processes, process)
@@ -155,12 +147,8 @@
 }
 
 func (c *Cluster) startHollowNode(ctx context.Context, m machine) error {
-	parsed, err := settings.Parse([]byte(c.settingsFile(m)))
-	if err != nil {
-		return err
-	}
 	node := &hollowNode{}
-	node.proxy = proxy.New(parsed, logging.Nop(), node.meter.network)
+	node.proxy = proxy.New(c.settingsOf(m), logging.Nop(), node.meter.network)
 	var config net.ListenConfig
 	datagrams, err := config.ListenPacket(ctx, "udp4", node.proxy.InternalAddress())
 	if err != nil {
--- a/internal/loadtest/measure.go
+++ b/internal/loadtest/measure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"time"
 )
@@ -31,7 +30,7 @@
 // configuration.
 func (c *Cluster) startAll(ctx context.Context, _ *Report) error {
 	c.listUnreachableLeafs()
-	if err := c.listen(ctx, c.address(platformIP, platformPort), http.HandlerFunc(c.servePlatform)); err != nil {
+	if err := c.listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
 		return err
 	}
 	if err := c.startControlNodes(ctx, c.size.ControlNodes); err != nil {
@@ -143,13 +142,13 @@
 	start := time.Now()
 	secondsBefore := make([]float64, len(c.processes))
 	for i, process := range c.processes {
-		secondsBefore[i] = processorSeconds(process.Process.Pid)
+		secondsBefore[i] = processorSeconds(process.PID())
 	}
 	time.Sleep(span)
 	elapsed := time.Since(start).Seconds()
 	for i, process := range c.processes {
-		one := memoryUsage(process.Process.Pid)
-		one.CPU = (processorSeconds(process.Process.Pid) - secondsBefore[i]) / elapsed
+		one := memoryUsage(process.PID())
+		one.CPU = (processorSeconds(process.PID()) - secondsBefore[i]) / elapsed
 		used = append(used, one)
 	}
 	return used, c.bytesPerNode(c.transferredBytes()-bytesBefore) / elapsed
--- a/internal/loadtest/scatter.go
+++ b/internal/loadtest/scatter.go
@@ -52,7 +52,7 @@
 	}
 	load.run(ctx, c.size.Rest/2) // warm-up: opens connections
 	load.answers = nil
-	pid := c.processes[1].Process.Pid // after the control node
+	pid := c.processes[1].PID() // after the control node
 	secondsBefore := processorSeconds(pid)
 	start := time.Now()
 	load.run(ctx, c.size.Rest)
@@ -73,7 +73,7 @@
 		return err
 	}
 	c.listSharedLeaf(leaf)
-	if err := c.listen(ctx, c.address(platformIP, platformPort), http.HandlerFunc(c.servePlatform)); err != nil {
+	if err := c.listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
 		return err
 	}
 	if err := c.startControlNodes(ctx, 1); err != nil {
--- a/internal/loadtest/settings.go
+++ b/internal/loadtest/settings.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"path/filepath"
-	"strings"
+
+	"comethold/internal/settings"
 )
 
 // Ports, as offsets from Cluster.basePort. The internal range is 0 to lastInternalPort.
@@ -33,55 +34,38 @@
 	return fmt.Sprintf("%s:%d", ip, c.basePort+port)
 }
 
-// settingsFile returns the content of a machine's settings file.
-func (c *Cluster) settingsFile(m machine) string {
-	var zones strings.Builder
+// settingsOf returns the settings of a machine.
+func (c *Cluster) settingsOf(m machine) *settings.Settings {
+	set := &settings.Settings{
+		NodeName:          m.name,
+		IPAddress:         m.ip,
+		AvailabilityZone:  m.zone,
+		RegionName:        "region-" + m.zone[len(m.zone)-1:],
+		InternalPortRange: []int{c.basePort, c.basePort + lastInternalPort},
+		SeedNodes:         c.seedNodes,
+		FirstStart:        true,
+		HeartbeatMs:       1200,
+		Zones:             map[string]string{},
+		Listen: settings.Listen{
+			Frontend:  c.address(m.ip, frontendPort),
+			Readiness: c.address(m.ip, readinessPort),
+		},
+		Tolerance: settings.Tolerance{MachineLosses: 2},
+		Bounds: settings.Bounds{
+			DrainMs: 4000, GracePeriodS: 6, ConfigApplyMs: 3000,
+			RetryBudgetRatio: 0.2, RetryWindowS: 10, RetryBudgetSlack: 200,
+			QuotaWindowS: 5, QuotaOvershoot: 0.1, QuotaSlack: 20,
+		},
+		Platform:  settings.Platform{Address: c.address(platformIP, platformPort), RatePerS: 1000},
+		Log:       settings.Log{Level: "error"},
+		Estimates: settings.Estimates{Enabled: c.size.Estimates},
+	}
 	for i := range c.size.Zones {
-		fmt.Fprintf(&zones, "%q = %q\n", zoneName(i, c.size.Zones), fmt.Sprintf("region-%d", i%regions))
+		set.Zones[zoneName(i, c.size.Zones)] = fmt.Sprintf("region-%d", i%regions)
 	}
-	dataDirectory, controlPlane := "", ""
 	if m.disk {
-		dataDirectory = fmt.Sprintf("dataDirectory = %q\n", filepath.Join(c.dir, m.name))
-		controlPlane = fmt.Sprintf("controlPlane = %q\n", c.address(m.ip, controlPort))
+		set.DataDirectory = filepath.Join(c.dir, m.name)
+		set.Listen.ControlPlane = c.address(m.ip, controlPort)
 	}
-	return fmt.Sprintf(`nodeName = %q
-ipAddress = %q
-availabilityZone = %q
-regionName = %q
-internalPortRange = [%d,%d]
-seedNodes = ["%s"]
-firstStart = true
-heartbeatIntervalMs = 1200
-%s
-[zones]
-%s
-[listenAddresses]
-frontend = %q
-readiness = %q
-%s
-[faultTolerance]
-machineLosses = 2
-[timingBounds]
-drainMs = 4000
-gracePeriodS = 6
-configApplyMs = 3000
-retryBudgetRatio = 0.2
-retryWindowS = 10
-retryBudgetSlack = 200
-quotaWindowS = 5
-quotaOvershoot = 0.1
-quotaSlack = 20
-[platformApi]
-address = %q
-ratePerS = 1000
-[log]
-level = "error"
-[estimates]
-enabled = %t
-`,
-		m.name, m.ip, m.zone, "region-"+m.zone[len(m.zone)-1:],
-		c.basePort, c.basePort+lastInternalPort,
-		strings.Join(c.seedNodes, `","`), dataDirectory, zones.String(),
-		c.address(m.ip, frontendPort), c.address(m.ip, readinessPort), controlPlane,
-		c.address(platformIP, platformPort), c.size.Estimates)
+	return set
 }
--- /dev/null
+++ b/internal/testbed/testbed_test.go
@@ -0,0 +1,133 @@
+package testbed
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"comethold/internal/settings"
+)
+
+// testSettings are settings that a program accepts.
+func testSettings(dir string) *settings.Settings {
+	return &settings.Settings{
+		NodeName:          "n1",
+		IPAddress:         "127.0.0.1",
+		AvailabilityZone:  "zone-0",
+		InternalPortRange: []int{20000, 20015},
+		SeedNodes:         []string{"127.0.0.1:20020"},
+		FirstStart:        true,
+		DataDirectory:     filepath.Join(dir, "n1"),
+		Zones:             map[string]string{"zone-0": "region-0"},
+		Bounds:            settings.Bounds{CatchUpS: 4, RetryBudgetRatio: 0.2},
+		Tolerance:         settings.Tolerance{MachineLosses: 1},
+	}
+}
+
+// TestWriteSettings: what is written is read back as it was.
+func TestWriteSettings(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "n1.toml")
+	for _, losses := range []int{1, 2} {
+		want := testSettings(dir)
+		want.Tolerance.MachineLosses = losses
+		if err := WriteSettings(path, want); err != nil {
+			t.Fatal(err)
+		}
+		got, err := settings.Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gotText, _ := json.Marshal(got)
+		wantText, _ := json.Marshal(want)
+		if string(gotText) != string(wantText) {
+			t.Errorf("read back: %s\nwritten: %s", gotText, wantText)
+		}
+	}
+	if files, _ := os.ReadDir(dir); len(files) != 1 {
+		t.Errorf("left behind: %v", files)
+	}
+}
+
+// TestProcess: a process runs until it is sent a signal; its end, and how it ended, are seen.
+func TestProcess(t *testing.T) {
+	dir := t.TempDir()
+	start := func(binary, argument string) *Process {
+		p, err := Start(t.Context(), Command{
+			Binary: binary, Program: argument, Settings: testSettings(dir), SettingsFile: filepath.Join(dir, "n1.toml"),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	p := start("sleep", "60")
+	if code := p.ExitCode(); code != -1 {
+		t.Errorf("it runs, with exit code %d", code)
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-p.Exited():
+	case <-time.After(10 * time.Second):
+		t.Fatal("SIGTERM does not end it")
+	}
+	p.Kill() // has no effect
+	killed := start("sleep", "60")
+	killed.Kill()
+	failed := start("ls", filepath.Join(dir, "missing"))
+	<-failed.Exited()
+	if killed.ExitCode() != -1 || failed.ExitCode() <= 0 {
+		t.Errorf("exit codes %d and %d", killed.ExitCode(), failed.ExitCode())
+	}
+	if _, err := os.Stat(filepath.Join(dir, "n1")); err != nil {
+		t.Error("there is no data directory")
+	}
+	if err := failed.Signal(syscall.SIGTERM); err == nil {
+		t.Error("a process that has ended takes a signal")
+	}
+}
+
+// TestPlatform: all pages together have each instance once, with its newest state.
+func TestPlatform(t *testing.T) {
+	const count = 2*platformPageSize + 1
+	var platform Platform
+	for i := range count + 1 {
+		platform.Add(Instance{ID: strconv.Itoa(i), State: Ready})
+	}
+	if !platform.SetState("3", Draining) || !platform.Remove("7") {
+		t.Error("listed instances are not changed")
+	}
+	if platform.Remove("7") || platform.SetState("7", Ready) {
+		t.Error("an instance that is not listed is changed")
+	}
+	states := map[string]string{}
+	for token, pages := "", 0; ; pages++ {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/instances?pageToken="+token, nil)
+		platform.ServeHTTP(recorder, request)
+		var page instancePage
+		if err := json.Unmarshal(recorder.Body.Bytes(), &page); err != nil {
+			t.Fatal(err)
+		}
+		for _, instance := range page.Instances {
+			states[instance.ID] = instance.State
+		}
+		if page.NextPageToken == nil {
+			break
+		}
+		if token = *page.NextPageToken; pages > count {
+			t.Fatal("there is no last page")
+		}
+	}
+	if len(states) != count || states["3"] != Draining || states["7"] != "" || states["8"] != Ready {
+		t.Errorf("%d instances, %v", len(states), states)
+	}
+}
