--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -190,8 +190,10 @@
 		defer func() { _ = conn.Close() }()
 		line := bytes.Repeat([]byte("x"), MaxAnswerHeadBytes)
 		_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Pad: "))
-		for n := 0; err == nil; total += n {
+		for err == nil {
+			var n int
 			n, err = conn.Write(line)
+			total += n
 		}
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
