Control plane: no loop starts beside or after the stop

Cause: startLoops adds to a WaitGroup that waitForLoops waits on; an Add beside a Wait may panic, and loops could start after the stop. Change: the loops are a taskgroup.Group, which starts nothing once it is closed.

TestRunBesideStop, without the change: "WARNING: DATA RACE" with the race detector; with it: passes, 2 runs of 20 starts and stops, race detector on.

--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -73,7 +73,7 @@
 
 	quit     chan struct{} // closed by Stop
 	stopOnce sync.Once
-	loops    sync.WaitGroup  // started by startLoops
+	loops    taskgroup.Group // started by startLoops
 	tasks    taskgroup.Group // short background tasks
 
 	mu               sync.Mutex         // guards the fields below
@@ -173,7 +173,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.loops.Wait()
+		s.loops.Close()
 		s.tasks.Close()
 	}()
 	select {
