Logging: a log that nobody reads costs lines, not the process

Cause: each line was written by its caller, with locks held and on the event loop; the first line that found the pipe full stopped it. The lines of net/http went to standard error by another way, with the same effect. Change: lines are queued (1024) and written by a goroutine of their own. What finds the queue full, or is refused, is counted, and event 111 tells the count as soon as the log takes lines again. Event 112 has the lines of the standard library's logger.

--- a/cmd/comethold/process.go
+++ b/cmd/comethold/process.go
@@ -36,6 +36,9 @@
 // settingsPollInterval is the time between two checks of the settings file for changes.
 const settingsPollInterval = 2 * time.Second
 
+// logCloseTimeout is how long the end of a process waits for the reader of its log.
+const logCloseTimeout = 200 * time.Millisecond
+
 // signalBacklog is how many signals are kept while one is handled.
 const signalBacklog = 4
 
@@ -64,6 +67,8 @@
 		debug.SetMemoryLimit(int64(float64(loaded.Limits.MemoryMb<<20) * softMemoryFraction))
 	}
 	log := logging.New(loaded.NodeName, name)
+	defer log.Close(logCloseTimeout, nil)
+	log.CaptureStandardLog()
 	log.SetLevel(loaded.Log.Level)
 	log.Info(logging.Started).Str("zone", loaded.AvailabilityZone).Str("version", version).Msg("program started")
 	p := &process{settings: loaded, settingsPath: path, log: log}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -11,6 +11,8 @@
 	SettingsReloaded EventNumber = 104
 	SettingsRejected EventNumber = 105
 	Failed           EventNumber = 107
+	LinesLost        EventNumber = 111
+	LibraryMessage   EventNumber = 112
 )
 
 // 2xx: replicas and their storage.
--- a/internal/logging/logger.go
+++ b/internal/logging/logger.go
@@ -1,8 +1,14 @@
 // Package logging writes log events as lines of JSON on standard error. Each line has the number of its kind of event;
 // docs/events.md lists the numbers for operators.
+//
+// Lines are written by a goroutine of their own: a log that nobody reads, or whose reader has gone, holds up no caller.
+// Lines that are lost so are counted, and the count is written as soon as the log takes lines again.
 package logging
 
 import (
+	"bytes"
+	"io"
+	stdlog "log"
 	"os"
 	"time"
 
@@ -13,19 +19,74 @@
 const eventField = "event"
 
 // Logger writes the events of one process. It is safe for concurrent use.
-type Logger struct{ logger zerolog.Logger }
+type Logger struct {
+	logger zerolog.Logger
+	writer *asyncWriter // nil if nothing is written
+}
 
 // New makes a logger on standard error. Every line contains the node and the program.
-func New(node, program string) *Logger {
+func New(node, program string) *Logger { return newLogger(os.Stderr, node, program) }
+
+func newLogger(out io.Writer, node, program string) *Logger {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	zerolog.DurationFieldInteger = true
-	logger := zerolog.New(os.Stderr).With().Timestamp().Str("node", node).Str("program", program).Logger()
-	return &Logger{logger: logger}
+	writer := newAsyncWriter(out, func(lost int64) []byte { return lostLinesNotice(node, program, lost) })
+	return &Logger{logger: zerologOn(writer, node, program), writer: writer}
+}
+
+func zerologOn(out io.Writer, node, program string) zerolog.Logger {
+	return zerolog.New(out).With().Timestamp().Str("node", node).Str("program", program).Logger()
+}
+
+// lostLinesNotice is the line that tells how many lines could not be written.
+func lostLinesNotice(node, program string, lost int64) []byte {
+	var line bytes.Buffer
+	logger := zerologOn(&line, node, program)
+	logger.WithLevel(zerolog.WarnLevel).
+		Int(eventField, int(LinesLost)).
+		Int64("lines", lost).
+		Msg("log lines were lost: the log was not read")
+	return line.Bytes()
 }
 
 // Nop returns a logger that writes nothing.
 func Nop() *Logger { return &Logger{logger: zerolog.Nop()} }
 
+// Close calls writeLast, if it isn't nil, with a logger for the last line, and waits up to timeout until all lines are
+// written. Other lines are dropped from now on.
+func (l *Logger) Close(timeout time.Duration, writeLast func(last *Logger)) {
+	if l.writer == nil {
+		return
+	}
+	l.writer.closed.Store(true)
+	if writeLast != nil {
+		writeLast(&Logger{logger: l.logger.Output(lastLineWriter{l.writer})})
+	}
+	l.writer.flush(timeout)
+}
+
+// lastLineWriter writes to a log that is closed.
+type lastLineWriter struct{ writer *asyncWriter }
+
+func (w lastLineWriter) Write(line []byte) (int, error) {
+	w.writer.enqueue(line)
+	return len(line), nil
+}
+
+// CaptureStandardLog makes the lines of the standard library's logger, which net/http uses, events of this one.
+func (l *Logger) CaptureStandardLog() {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(standardLogWriter{l})
+}
+
+// standardLogWriter turns the lines of the standard library's logger into events.
+type standardLogWriter struct{ log *Logger }
+
+func (w standardLogWriter) Write(text []byte) (int, error) {
+	w.log.Warn(LibraryMessage).Msg(string(bytes.TrimSpace(text)))
+	return len(text), nil
+}
+
 // SetLevel sets the lowest level that is written, for the whole process: trace, debug, info, warn or error. An empty
 // or unknown name means info.
 func (l *Logger) SetLevel(name string) {
