Process: signals have handlers from the first moment, and every end is told

Cause: the handler was the last thing that the start made, one queue of four held all signals, and one goroutine did reloads and the stop.

Change: the life of a process moves from cmd/comethold into internal/process. earlysignal subscribes before nearly all other packages are initialized, one channel for SIGHUP (repeated ones are merged, the newest settings count), one for SIGTERM and SIGINT. SIGTERM is taken while the program is set up, too. A reload runs beside the stop. SIGPIPE is ignored. Members have names; one that panics, fails or returns early is named in the last line, with its stack. A stop that outlasts the grace period by a second ends the process (116). 101 says what the start found, 110 that all sockets are open, 103 and 107 are the last line.

--- a/cmd/comethold/controlplane.go
+++ b/cmd/comethold/controlplane.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"comethold/internal/controlplane"
+	"comethold/internal/process"
 	"comethold/internal/rpc"
 	"comethold/internal/settings"
 	"comethold/internal/storage"
@@ -27,26 +28,26 @@
 	}
 }
 
-// setUpControlPlane opens the sockets of a control node and adds its goroutines.
-func setUpControlPlane(p *process) error {
-	if p.settings.Listen.ControlPlane == "" || p.settings.DataDirectory == "" {
+// setUpControlPlane opens the sockets of a control node and adds its members.
+func setUpControlPlane(p *process.Process) error {
+	listen := p.Settings.Listen
+	if listen.ControlPlane == "" || p.Settings.DataDirectory == "" {
 		return errors.New("settings: the control plane needs listenAddresses.controlPlane and dataDirectory")
 	}
-	server := controlplane.New(p.settings, p.log, rpc.TCPNetwork, storage.LocalDisk{})
-	stop := func(error) { server.Stop() }
-	p.group.Add(server.Run, stop)
-	internal := controlplane.InternalAddress(p.settings)
-	datagrams, err := p.listenPacket(internal)
+	server := controlplane.New(p.Settings, p.Log, rpc.TCPNetwork, storage.LocalDisk{})
+	p.Add("control plane", server.Run, server.Stop)
+	internal := controlplane.InternalAddress(p.Settings)
+	datagrams, err := p.ListenPacket(internal)
 	if err != nil {
 		return err
 	}
-	p.group.Add(func() error { return server.ServeDatagrams(datagrams) }, stop)
-	if err := p.addServer(p.settings.Listen.ControlPlane, server.OperatorHandler()); err != nil {
+	p.Add("datagrams", func() error { return server.ServeDatagrams(datagrams) }, server.Stop)
+	if err := p.AddServer("operator API", listen.ControlPlane, server.OperatorHandler()); err != nil {
 		return err
 	}
-	if err := p.addServer(internal, server.InternalHandler()); err != nil {
+	if err := p.AddServer("internal API", internal, server.InternalHandler()); err != nil {
 		return err
 	}
-	p.addSignalHandling(server.Reload, func() {})
+	p.OnReload(server.Reload)
 	return nil
 }
--- a/cmd/comethold/dataplane.go
+++ b/cmd/comethold/dataplane.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"comethold/internal/process"
 	"comethold/internal/proxy"
 	"comethold/internal/rpc"
 	"comethold/internal/settings"
@@ -25,34 +26,34 @@
 	}
 }
 
-// setUpDataPlane opens the sockets of a proxy and adds its goroutines.
-func setUpDataPlane(p *process) error {
-	listen := p.settings.Listen
+// setUpDataPlane opens the sockets of a proxy and adds its members.
+func setUpDataPlane(p *process.Process) error {
+	listen := p.Settings.Listen
 	if listen.Frontend == "" || listen.Readiness == "" {
 		return errors.New("settings: the data plane needs listenAddresses.frontend and listenAddresses.readiness")
 	}
-	server := proxy.New(p.settings, p.log, rpc.TCPNetwork)
-	clients, err := p.listen(listen.Frontend)
+	server := proxy.New(p.Settings, p.Log, rpc.TCPNetwork)
+	clients, err := p.Listen(listen.Frontend)
 	if err != nil {
 		return err
 	}
-	datagrams, err := p.listenPacket(server.InternalAddress())
+	datagrams, err := p.ListenPacket(server.InternalAddress())
 	if err != nil {
 		return err
 	}
-	shutdown := func(error) { server.Shutdown() }
-	p.group.Add(func() error { return server.Serve(clients) }, shutdown)
-	p.group.Add(server.RunUpdates, shutdown)
-	p.group.Add(server.RunMaintenance, shutdown)
-	p.group.Add(server.ReportUsage, shutdown)
-	p.group.Add(server.CollectLatencies, shutdown)
-	p.group.Add(func() error { return server.RunHeartbeats(datagrams) }, shutdown)
-	if err := p.addServer(listen.Readiness, server.Readiness()); err != nil {
+	p.Add("clients", func() error { return server.Serve(clients) }, server.Shutdown)
+	p.Add("updates", server.RunUpdates, server.Shutdown)
+	p.Add("maintenance", server.RunMaintenance, server.Shutdown)
+	p.Add("usage", server.ReportUsage, server.Shutdown)
+	p.Add("latencies", server.CollectLatencies, server.Shutdown)
+	p.Add("heartbeats", func() error { return server.RunHeartbeats(datagrams) }, server.Shutdown)
+	if err := p.AddServer("readiness", listen.Readiness, server.Readiness()); err != nil {
 		return err
 	}
-	if err := p.addServer(server.InternalAddress(), server.InternalHandler()); err != nil {
+	if err := p.AddServer("internal API", server.InternalAddress(), server.InternalHandler()); err != nil {
 		return err
 	}
-	p.addSignalHandling(server.Reload, server.Shutdown)
+	p.OnReload(server.Reload)
+	p.OnShutdown(server.Shutdown)
 	return nil
 }
--- a/cmd/comethold/main.go
+++ b/cmd/comethold/main.go
@@ -8,6 +8,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+
+	"comethold/internal/process"
+	"comethold/internal/process/earlysignal"
 )
 
 // Exit codes.
@@ -17,9 +21,23 @@
 )
 
 func main() {
+	if !runsProgram(os.Args[1:]) {
+		earlysignal.Release()
+	}
 	os.Exit(execute(os.Args[1:]))
 }
 
+// runsProgram reports whether the arguments start a program, which handles signals itself.
+func runsProgram(args []string) bool {
+	programs := []string{dataPlaneName, controlPlaneName, objectCacheName}
+	return len(args) > 0 && slices.Contains(programs, args[0])
+}
+
+// runProgram runs a program until it is stopped or fails.
+func runProgram(name string, setUp func(*process.Process) error) error {
+	return process.Run(process.Program{Name: name, Version: version, SetUp: setUp})
+}
+
 // execute runs the command that the arguments name and returns the exit code.
 func execute(args []string) int {
 	root := newRootCommand()
@@ -28,7 +46,9 @@
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, "comethold:", err)
+	if !process.IsReported(err) {
+		fmt.Fprintln(os.Stderr, "comethold:", err)
+	}
 	var usage *usageError
 	if errors.As(err, &usage) {
 		return exitUsage
--- a/cmd/comethold/objectcache.go
+++ b/cmd/comethold/objectcache.go
@@ -2,6 +2,7 @@
 
 import (
 	"comethold/internal/objectcache"
+	"comethold/internal/process"
 	"comethold/internal/rpc"
 	"comethold/internal/settings"
 
@@ -24,21 +25,20 @@
 	}
 }
 
-// setUpObjectCache opens the sockets of a cache node and adds its goroutines.
-func setUpObjectCache(p *process) error {
-	server := objectcache.New(p.settings, p.log, rpc.TCPNetwork)
-	datagrams, err := p.listenPacket(server.InternalAddress())
+// setUpObjectCache opens the sockets of a cache node and adds its members.
+func setUpObjectCache(p *process.Process) error {
+	server := objectcache.New(p.Settings, p.Log, rpc.TCPNetwork)
+	datagrams, err := p.ListenPacket(server.InternalAddress())
 	if err != nil {
 		return err
 	}
-	shutdown := func(error) { server.Shutdown() }
-	p.group.Add(server.RunUpdates, shutdown)
-	p.group.Add(server.RunShareRenewal, shutdown)
-	p.group.Add(server.RunStatistics, shutdown)
-	p.group.Add(func() error { return server.RunHeartbeats(datagrams) }, shutdown)
-	if err := p.addServer(server.InternalAddress(), server.InternalHandler()); err != nil {
+	p.Add("updates", server.RunUpdates, server.Shutdown)
+	p.Add("share renewal", server.RunShareRenewal, server.Shutdown)
+	p.Add("statistics", server.RunStatistics, server.Shutdown)
+	p.Add("heartbeats", func() error { return server.RunHeartbeats(datagrams) }, server.Shutdown)
+	if err := p.AddServer("internal API", server.InternalAddress(), server.InternalHandler()); err != nil {
 		return err
 	}
-	p.addSignalHandling(server.Reload, func() {})
+	p.OnReload(server.Reload)
 	return nil
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -11,8 +11,10 @@
 	SettingsReloaded EventNumber = 104
 	SettingsRejected EventNumber = 105
 	Failed           EventNumber = 107
+	InService        EventNumber = 110
 	LinesLost        EventNumber = 111
 	LibraryMessage   EventNumber = 112
+	StopTimedOut     EventNumber = 116
 )
 
 // 2xx: replicas and their storage.
--- /dev/null
+++ b/internal/process/program_test.go
@@ -0,0 +1,105 @@
+package process
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// fakeProgram is the variable that makes the test binary run one of the fakePrograms.
+const fakeProgram = "COMETHOLD_FAKE_PROGRAM"
+
+var fakePrograms = map[string]func(*Process) error{
+	"panics": func(p *Process) error {
+		p.Add("worker", func() error { panic("broken worker") }, func() {})
+		return nil
+	},
+	"fails": func(p *Process) error {
+		p.Add("worker", func() error { return errors.New("no more work") }, func() {})
+		return nil
+	},
+	"returns": func(p *Process) error {
+		p.Add("worker", func() error { return nil }, func() {})
+		return nil
+	},
+	"panics at the start": func(*Process) error { panic("broken start") },
+	"never stops": func(p *Process) error {
+		p.Add("worker", func() error { select {} }, func() {})
+		p.Add("failing", func() error { return errors.New("stop all") }, func() {})
+		return nil
+	},
+	"stop panics": func(p *Process) error {
+		quit := make(chan struct{})
+		p.Add("worker", func() error { <-quit; return nil }, func() { close(quit); panic("broken stop") })
+		p.Add("failing", func() error { return errors.New("stop all") }, func() {})
+		return nil
+	},
+}
+
+func TestMain(m *testing.M) {
+	setUp, ok := fakePrograms[os.Getenv(fakeProgram)]
+	if !ok {
+		os.Exit(runWithBinaries(m))
+	}
+	if Run(Program{Name: "fake", Version: "0", SetUp: setUp}) != nil {
+		os.Exit(exitFailure)
+	}
+}
+
+// TestEndIsTold: the last line of the log says which member failed and how, a panic with its stack.
+func TestEndIsTold(t *testing.T) {
+	cases := map[string][]string{
+		"panics":              {`"event":107`, `"member":"worker"`, "panic: broken worker", "program_test.go"},
+		"fails":               {`"event":107`, `"member":"worker"`, "no more work"},
+		"returns":             {`"event":107`, `"member":"worker"`, "ended by itself"},
+		"panics at the start": {`"event":107`, `"member":"start"`, "panic: broken start", "program_test.go"},
+		"never stops":         {`"event":116`},
+		"stop panics":         {`"event":107`, `"member":"failing"`, "stop all"},
+	}
+	for name, want := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			code, log := runFake(t, name)
+			lines := strings.Split(strings.TrimSpace(log), "\n")
+			last := lines[len(lines)-1]
+			if code != exitFailure {
+				t.Errorf("exit code %d", code)
+			}
+			for _, part := range want {
+				if !strings.Contains(last, part) {
+					t.Errorf("the last line lacks %s: %s", part, last)
+				}
+			}
+		})
+	}
+}
+
+// runFake runs a fake program as a process, and returns its exit code and its log.
+func runFake(t *testing.T, name string) (code int, log string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	text := `nodeName = "n1"
+ipAddress = "127.0.0.1"
+availabilityZone = "z1"
+internalPortRange = [7120, 7135]
+seedNodes = ["127.0.0.1:7120"]
+[timingBounds]
+gracePeriodS = 0.5
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.CommandContext(t.Context(), os.Args[0])
+	command.Env = append(os.Environ(), fakeProgram+"="+name, "COMETHOLD_SETTINGS="+path)
+	var stderr strings.Builder
+	command.Stderr = &stderr
+	err := command.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return command.ProcessState.ExitCode(), stderr.String()
+}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 
 	"github.com/BurntSushi/toml"
 
@@ -22,11 +23,13 @@
 type Command struct {
 	Binary   string
 	Program  string             // the argument that names the program
-	Settings *settings.Settings // written to SettingsFile
+	Settings *settings.Settings // written to SettingsFile; nil: that file stays as it is
 	// SettingsFile is the path of the settings file.
 	SettingsFile string
 	Environment  []string  // added to this process's
 	Log          io.Writer // gets the process's standard error
+	// WithoutDataDirectory leaves it to the program to make its data directory.
+	WithoutDataDirectory bool
 }
 
 // Process is a running program.
@@ -38,14 +41,9 @@
 // Start writes the settings file, makes the data directory and starts the program. It is killed when
 // ctx is done.
 func Start(ctx context.Context, c Command) (*Process, error) {
-	if err := WriteSettings(c.SettingsFile, c.Settings); err != nil {
+	if err := c.writeFiles(); err != nil {
 		return nil, err
 	}
-	if c.Settings.DataDirectory != "" {
-		if err := os.MkdirAll(c.Settings.DataDirectory, dataDirectoryMode); err != nil {
-			return nil, err
-		}
-	}
 	command := exec.CommandContext(ctx, c.Binary, c.Program)
 	command.Env = append(os.Environ(), settings.Env+"="+c.SettingsFile)
 	command.Env = append(command.Env, c.Environment...)
@@ -61,6 +59,20 @@
 	return p, nil
 }
 
+// writeFiles writes the settings file and makes the data directory.
+func (c Command) writeFiles() error {
+	if c.Settings == nil {
+		return nil
+	}
+	if err := WriteSettings(c.SettingsFile, c.Settings); err != nil {
+		return err
+	}
+	if c.Settings.DataDirectory == "" || c.WithoutDataDirectory {
+		return nil
+	}
+	return os.MkdirAll(c.Settings.DataDirectory, dataDirectoryMode)
+}
+
 // WriteSettings writes a settings file. A file that exists is replaced as a whole, so that a process
 // that reads it meanwhile gets one or the other.
 func WriteSettings(path string, s *settings.Settings) error {
@@ -94,6 +106,20 @@
 	}
 }
 
+// EndSignal returns the signal that ended the process, or 0 if it ended otherwise or runs.
+func (p *Process) EndSignal() syscall.Signal {
+	select {
+	case <-p.exited:
+	default:
+		return 0
+	}
+	status, ok := p.command.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok || !status.Signaled() {
+		return 0
+	}
+	return status.Signal()
+}
+
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() {
 	_ = p.command.Process.Kill() // fails only if it has ended
