Process: the start waits for ports, settings and the data directory

A missing data directory: never made; the control plane is never ready, the object cache runs without it. Cause: each was tried once, and nobody made the directory.

Change: one wait for all of them, for the grace period and 10 s more, with one line at the first failure (108) and one at the end (109); SIGTERM ends it at once with 0. What can't pass (an address that isn't ours, a file in the place of a directory) ends at once with one line (107) and exit code 1. A settings file counts when two reads, 20 ms apart, find the same valid text; an invalid one is rejected when it has stayed the same for a second: who rewrites a file in place is done by then, and nobody waits longer for a real mistake. Half a file that is valid by itself and rests for 20 ms can't be told from a whole one.

--- a/cmd/comethold/controlplane.go
+++ b/cmd/comethold/controlplane.go
@@ -49,5 +49,5 @@
 		return err
 	}
 	p.OnReload(server.Reload)
-	return nil
+	return p.MakeDataDirectory()
 }
--- a/cmd/comethold/objectcache.go
+++ b/cmd/comethold/objectcache.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"comethold/internal/logging"
 	"comethold/internal/objectcache"
 	"comethold/internal/process"
 	"comethold/internal/rpc"
@@ -25,8 +26,12 @@
 	}
 }
 
-// setUpObjectCache opens the sockets of a cache node and adds its members.
+// setUpObjectCache opens the sockets of a cache node and adds its members. Without its data directory it keeps its
+// objects in memory.
 func setUpObjectCache(p *process.Process) error {
+	if err := p.MakeDataDirectory(); err != nil {
+		p.Log.Warn(logging.DiskCacheDropped).Err(err).Msg("objects are kept in memory only")
+	}
 	server := objectcache.New(p.Settings, p.Log, rpc.TCPNetwork)
 	datagrams, err := p.ListenPacket(server.InternalAddress())
 	if err != nil {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -11,6 +11,8 @@
 	SettingsReloaded EventNumber = 104
 	SettingsRejected EventNumber = 105
 	Failed           EventNumber = 107
+	StartDelayed     EventNumber = 108
+	StartResumed     EventNumber = 109
 	InService        EventNumber = 110
 	LinesLost        EventNumber = 111
 	LibraryMessage   EventNumber = 112
--- a/internal/process/listen.go
+++ b/internal/process/listen.go
@@ -17,20 +17,28 @@
 	shutdownTimeout   = 300 * time.Millisecond
 )
 
-// Listen opens a TCP socket.
+// Listen opens a TCP socket. It waits while the port is taken.
 func (p *Process) Listen(address string) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp4", address)
+	var listener net.Listener
+	err := p.await("tcp "+address, func() (err error) {
+		var config net.ListenConfig
+		listener, err = config.Listen(context.Background(), "tcp4", address)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen: %w", err)
 	}
 	return listener, nil
 }
 
-// ListenPacket opens a UDP socket.
+// ListenPacket opens a UDP socket. It waits while the port is taken.
 func (p *Process) ListenPacket(address string) (net.PacketConn, error) {
-	var config net.ListenConfig
-	conn, err := config.ListenPacket(context.Background(), "udp4", address)
+	var conn net.PacketConn
+	err := p.await("udp "+address, func() (err error) {
+		var config net.ListenConfig
+		conn, err = config.ListenPacket(context.Background(), "udp4", address)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen: %w", err)
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -10,6 +10,10 @@
 	"comethold/internal/settings"
 )
 
+// startMargin is how much longer than the grace period a start waits for what is missing: a predecessor that is being
+// stopped has released its ports and files by then.
+const startMargin = 10 * time.Second
+
 // stopMargin is how much longer than the grace period a stop may take before the process ends itself.
 const stopMargin = time.Second
 
@@ -26,6 +30,8 @@
 	reload    func(*settings.Settings)
 	shutdown  func()
 	startedAt time.Time
+	waited    time.Duration // that the start has waited for what was missing
+	quit      chan struct{} // closed when a signal ends the start
 }
 
 func newProcess(set *settings.Settings, log *logging.Logger, file *settingsFile) *Process {
@@ -37,6 +43,7 @@
 		reload:    func(*settings.Settings) {},
 		shutdown:  func() {},
 		startedAt: time.Now(),
+		quit:      make(chan struct{}),
 	}
 }
 
@@ -59,12 +66,16 @@
 	return defaultGracePeriod
 }
 
+// startPatience is how long the start waits for one thing that is missing.
+func (p *Process) startPatience() time.Duration { return gracePeriod(p.Settings) + startMargin }
+
 // run sets the program up and runs its members until a signal comes or one of them fails.
 func (p *Process) run(setUp func(*Process) error) end {
 	ready := make(chan error, 1)
 	go func() { ready <- guard("start", func() error { return setUp(p) }) }()
 	select {
 	case received := <-earlysignal.Terminations():
+		close(p.quit)
 		return end{signal: received.String(), phase: phaseStart}
 	case err := <-ready:
 		if err != nil {
@@ -72,6 +83,7 @@
 		}
 	}
 	p.Log.Info(logging.InService).
+		Dur("waitedMs", p.waited).
 		Dur("startMs", time.Since(p.startedAt)).
 		Msg("program is in service")
 	return p.serve()
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"comethold/internal/logging"
+	"comethold/internal/process/earlysignal"
 	"comethold/internal/settings"
 )
 
@@ -52,7 +53,7 @@
 	starting := logging.New("", program.Name)
 	starting.CaptureStandardLog()
 	file := newSettingsFile(path)
-	loaded, err := file.load()
+	loaded, err := file.awaitValid(starting, earlysignal.Terminations())
 	if err != nil {
 		return conclude(starting, end{phase: phaseStart, err: err})
 	}
@@ -90,6 +91,10 @@
 
 // conclude writes the last line of the log and returns the error of the process.
 func conclude(log *logging.Logger, e end) error {
+	var terminated *terminatedError
+	if errors.As(e.err, &terminated) {
+		e = end{signal: terminated.signal, phase: phaseStart}
+	}
 	log.Close(logCloseTimeout, func(last *logging.Logger) { logEnd(last, e) })
 	if e.err == nil {
 		return nil
@@ -113,3 +118,8 @@
 		Str("stack", string(failure.stack)).
 		Msg("program failed")
 }
+
+// terminatedError says that a signal ended a wait of the start.
+type terminatedError struct{ signal string }
+
+func (e *terminatedError) Error() string { return "terminated by " + e.signal }
--- a/internal/process/program_test.go
+++ b/internal/process/program_test.go
@@ -7,6 +7,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"comethold/internal/logging"
 )
 
 // fakeProgram is the variable that makes the test binary run one of the fakePrograms.
@@ -103,3 +106,40 @@
 	}
 	return command.ProcessState.ExitCode(), stderr.String()
 }
+
+// TestMakeDirectory: a directory is made with those above it; a file in its place is an error that does not pass.
+func TestMakeDirectory(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "a", "b", "c")
+	for range 2 {
+		if err := makeDirectory(path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if info, err := os.Stat(path); err != nil || !info.IsDir() {
+		t.Fatalf("not made: %v", err)
+	}
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := makeDirectory(filepath.Join(file, "below")); err == nil || isPassing(err) {
+		t.Errorf("below a file: %v", err)
+	}
+}
+
+// TestSettledFile: a file that is invalid and stays so is rejected, one that becomes valid in time is read.
+func TestSettledFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	file := newSettingsFile(path)
+	started := time.Now()
+	if _, err := file.awaitValid(logging.Nop(), nil); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a missing file: %v", err)
+	}
+	if waited := time.Since(started); waited < settingsSettleTime {
+		t.Errorf("rejected after %v", waited)
+	}
+	if len(file.last) != 0 {
+		t.Errorf("the content is %q", file.last)
+	}
+}
--- a/internal/process/settingsfile.go
+++ b/internal/process/settingsfile.go
@@ -12,6 +12,8 @@
 // Timing of reading the settings file, which may be rewritten in place.
 const (
 	settingsReadInterval = 20 * time.Millisecond // between two reads that must be the same
+	settingsSettleTime   = time.Second           // for which an invalid file must stay as it is to be rejected
+	settingsTimeout      = 10 * time.Second      // for a file that keeps changing
 	settingsPollInterval = 2 * time.Second       // between two checks for changes
 )
 
@@ -32,11 +34,35 @@
 
 func newSettingsFile(path string) *settingsFile { return &settingsFile{path: path} }
 
-// load reads the file at the start.
-func (f *settingsFile) load() (*settings.Settings, error) {
-	raw, err := os.ReadFile(f.path)
-	f.last = raw
-	return parseRead(raw, err)
+// awaitValid reads the file at the start. An invalid or missing file may be in the middle of a replacement, so it is
+// read again until it has not changed for settingsSettleTime.
+func (f *settingsFile) awaitValid(log *logging.Logger, terminations <-chan os.Signal) (*settings.Settings, error) {
+	wait := startWait{log: log, resource: f.path, patience: settingsTimeout, startedAt: time.Now()}
+	previous, unchangedSince := []byte(nil), time.Now()
+	for first := true; ; first = false {
+		raw, err := os.ReadFile(f.path)
+		changed := first || !bytes.Equal(raw, previous)
+		if changed {
+			previous, unchangedSince = raw, time.Now()
+		}
+		loaded, err := parseRead(raw, err)
+		if err == nil && !changed {
+			f.last = raw
+			wait.end()
+			return loaded, nil
+		}
+		if err != nil && (time.Since(unchangedSince) >= settingsSettleTime || wait.exhausted()) {
+			return nil, err
+		}
+		if err != nil {
+			wait.report(err)
+		}
+		select {
+		case received := <-terminations:
+			return nil, &terminatedError{signal: received.String()}
+		case <-time.After(settingsReadInterval):
+		}
+	}
 }
 
 // parseRead parses what was read of a settings file.
--- a/internal/process/signals_test.go
+++ b/internal/process/signals_test.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// TestTerminationBeforeSettingsAreRead guards against a SIGTERM that is lost, or that kills, during the start.
+func TestTerminationBeforeSettingsAreRead(t *testing.T) {
+	for _, program := range programNames {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			release := n.serveSettingsFromPipe(t)
+			i := n.startWith(t, nil)
+			release(func() { i.signal(syscall.SIGTERM) })
+			i.wantEnd(0)
+		})
+	}
+}
+
 // serveSettingsFromPipe makes the settings file a named pipe. The function that it returns waits until the program
 // opens the file, calls during, and then serves the settings to this and later reads.
 func (n *node) serveSettingsFromPipe(t *testing.T) (release func(during func())) {
--- /dev/null
+++ b/internal/process/start_test.go
@@ -0,0 +1,236 @@
+package process
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"comethold/internal/settings"
+	"comethold/internal/testbed"
+)
+
+// TestPortTakenForAWhile guards against a start that fails because a predecessor still holds a port.
+func TestPortTakenForAWhile(t *testing.T) {
+	holders := map[string]func(t *testing.T, address string) (release func()){
+		"listener":   holdListener,
+		"datagrams":  holdDatagrams,
+		"connection": holdConnection,
+	}
+	for name, hold := range holders {
+		t.Run(name, func(t *testing.T) {
+			for _, program := range programNames {
+				t.Run(program, func(t *testing.T) {
+					t.Parallel()
+					n := newNode(t, program)
+					release := hold(t, n.internalAddress())
+					i := n.start(t)
+					time.Sleep(1500 * time.Millisecond)
+					release()
+					i.awaitAccepting(n.internalAddress())
+					i.awaitLine(`"event":109`)
+					i.awaitLine(`"event":110`)
+					if count := strings.Count(i.log.String(), `"event":108`); count != 1 {
+						t.Errorf("%d lines tell of the wait: %s", count, i.log)
+					}
+					i.wantStop()
+				})
+			}
+		})
+	}
+}
+
+func holdListener(t *testing.T, address string) (release func()) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() { _ = listener.Close() }
+}
+
+func holdDatagrams(t *testing.T, address string) (release func()) {
+	t.Helper()
+	conn, err := (&net.ListenConfig{}).ListenPacket(t.Context(), "udp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() { _ = conn.Close() }
+}
+
+// holdConnection makes the address the local one of a connection.
+func holdConnection(t *testing.T, address string) (release func()) {
+	t.Helper()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", net.JoinHostPort(host, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	local, err := net.ResolveTCPAddr("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := (&net.Dialer{LocalAddr: local}).DialContext(t.Context(), "tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the port is free at once
+		}
+		_ = conn.Close()
+		_ = listener.Close()
+	}
+}
+
+// TestTerminationWhileAPortIsTaken guards against a SIGTERM that waits for the start.
+func TestTerminationWhileAPortIsTaken(t *testing.T) {
+	for _, program := range programNames {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			defer holdListener(t, n.internalAddress())()
+			i := n.start(t)
+			i.awaitLine(`"event":108`)
+			i.signal(syscall.SIGHUP)
+			i.wantStop()
+			if last := i.lastLine(); !strings.Contains(last, `"event":103`) || !strings.Contains(last, `"phase":"start"`) {
+				t.Errorf("the last line is %s", last)
+			}
+		})
+	}
+}
+
+// TestForeignAddress guards against a wait for an address that will never be this machine's.
+func TestForeignAddress(t *testing.T) {
+	for _, program := range programNames {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			n.settings.IPAddress = "192.0.2.1" // reserved for documentation
+			started := time.Now()
+			i := n.start(t)
+			i.wantEnd(exitFailure)
+			if waited := time.Since(started); waited > gracePeriod(n.settings)+startMargin {
+				t.Errorf("ended after %v", waited)
+			}
+			if last := i.lastLine(); !strings.Contains(last, `"event":107`) || !strings.Contains(last, "192.0.2.1") {
+				t.Errorf("the last line is %s", last)
+			}
+		})
+	}
+}
+
+// TestSettingsWrittenDuringTheStart guards against a start that fails because its settings file is half written.
+func TestSettingsWrittenDuringTheStart(t *testing.T) {
+	for _, program := range programNames {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			if err := testbed.WriteSettings(n.file, n.settings); err != nil {
+				t.Fatal(err)
+			}
+			text, err := os.ReadFile(n.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, written := range []int{0, 11, bytes.Index(text, []byte("seedNodes"))} {
+				if err := os.WriteFile(n.file, text[:written], 0o600); err != nil {
+					t.Fatal(err)
+				}
+				if settingsAreValid(text[:written]) {
+					t.Fatalf("the first %d bytes are valid", written)
+				}
+				i := n.startWith(t, nil)
+				time.Sleep(200 * time.Millisecond)
+				if err := os.WriteFile(n.file, text, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				i.awaitAccepting(n.internalAddress())
+				i.wantStop()
+			}
+		})
+	}
+}
+
+func settingsAreValid(text []byte) bool {
+	_, err := settings.Parse(text)
+	return err == nil
+}
+
+// TestInvalidSettings guards against an endless wait for settings that nobody corrects.
+func TestInvalidSettings(t *testing.T) {
+	for _, program := range programNames {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			if err := os.WriteFile(n.file, []byte("nodeName = "), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			i := n.startWith(t, nil)
+			i.wantEnd(exitFailure)
+			if last := i.lastLine(); !strings.Contains(last, `"event":107`) || !strings.Contains(last, "settings") {
+				t.Errorf("the last line is %s", last)
+			}
+		})
+	}
+}
+
+// TestDataDirectoryMissing guards against programs that wait for, or do without, a directory that they can make.
+func TestDataDirectoryMissing(t *testing.T) {
+	for _, program := range []string{"control-plane", "object-cache"} {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			n := newNode(t, program)
+			i := n.start(t)
+			opened := map[string]string{"control-plane": `"event":206`, "object-cache": `"event":701`}[program]
+			i.awaitLine(opened)
+			if entries, err := os.ReadDir(n.settings.DataDirectory); err != nil || len(entries) == 0 {
+				t.Errorf("the directory holds %d files: %v", len(entries), err)
+			}
+			if strings.Contains(i.log.String(), `"event":202`) || strings.Contains(i.log.String(), `"event":702`) {
+				t.Errorf("a disk fault is logged: %s", i.log)
+			}
+			i.wantStop()
+		})
+	}
+}
+
+// TestDataDirectoryCannotBeMade guards against a control plane that is never ready and doesn't say why.
+func TestDataDirectoryCannotBeMade(t *testing.T) {
+	n := newNode(t, "control-plane")
+	if err := os.WriteFile(n.settings.DataDirectory, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.settings.DataDirectory += "/below"
+	i := n.start(t)
+	i.wantEnd(exitFailure)
+	if last := i.lastLine(); !strings.Contains(last, `"event":107`) || !strings.Contains(last, "data directory") {
+		t.Errorf("the last line is %s", last)
+	}
+}
+
+// TestStorageLockedByPredecessor guards against a start that fails while a predecessor still has the storage open.
+func TestStorageLockedByPredecessor(t *testing.T) {
+	for program, opened := range map[string]string{"control-plane": `"event":206`, "object-cache": `"event":701`} {
+		t.Run(program, func(t *testing.T) {
+			t.Parallel()
+			predecessor, n := newNode(t, program), newNode(t, program)
+			n.settings.DataDirectory = predecessor.settings.DataDirectory
+			first := predecessor.start(t)
+			first.awaitLine(opened)
+			second := n.start(t)
+			second.awaitAccepting(n.internalAddress())
+			time.Sleep(1500 * time.Millisecond)
+			first.wantStop()
+			second.awaitLine(opened)
+			second.wantStop()
+		})
+	}
+}
