Process: accepting goes on after any error, and memory near its limit is told

By reading: net/http's Serve returns on an error of accept that it doesn't take for passing (no buffers, no memory, a firewall's refusal), and the member's end took the whole process along. Now only the closing of the socket ends it; 114 and 115 tell the pause. TestFewDescriptors: 200 connections at 40 descriptors, then free again; on it fails for want of these lines only: the errors of that case were retried by net/http before.

--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -16,6 +16,9 @@
 	InService        EventNumber = 110
 	LinesLost        EventNumber = 111
 	LibraryMessage   EventNumber = 112
+	MemoryNearLimit  EventNumber = 113
+	SocketFault      EventNumber = 114
+	SocketRecovered  EventNumber = 115
 	StopTimedOut     EventNumber = 116
 )
 
--- a/internal/process/listen.go
+++ b/internal/process/listen.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"comethold/internal/logging"
 )
 
 // Limits of the HTTP servers for operators, the platform and other nodes.
@@ -17,6 +19,9 @@
 	shutdownTimeout   = 300 * time.Millisecond
 )
 
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 20 * time.Millisecond
+
 // Listen opens a TCP socket. It waits while the port is taken.
 func (p *Process) Listen(address string) (net.Listener, error) {
 	var listener net.Listener
@@ -28,7 +33,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen: %w", err)
 	}
-	return listener, nil
+	return &patientListener{Listener: listener, log: p.Log}, nil
 }
 
 // ListenPacket opens a UDP socket. It waits while the port is taken.
@@ -74,3 +79,36 @@
 	p.Add(name, serve, stop)
 	return nil
 }
+
+// patientListener accepts connections until it is closed: any other error passes, such as too many open files or no
+// memory for buffers.
+type patientListener struct {
+	net.Listener
+	log *logging.Logger
+}
+
+// Accept waits for the next connection. Its only error is net.ErrClosed.
+func (l *patientListener) Accept() (net.Conn, error) {
+	for failures := 0; ; failures++ {
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			if failures > 0 {
+				l.log.Info(logging.SocketRecovered).
+					Stringer("address", l.Addr()).
+					Int("failures", failures).
+					Msg("connections are accepted again")
+			}
+			return conn, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		if failures == 0 {
+			l.log.Warn(logging.SocketFault).
+				Err(err).
+				Stringer("address", l.Addr()).
+				Msg("connections can't be accepted; trying again")
+		}
+		time.Sleep(acceptRetryInterval)
+	}
+}
--- a/internal/process/program_test.go
+++ b/internal/process/program_test.go
@@ -128,6 +128,21 @@
 	}
 }
 
+// TestMemoryWatch: memory near its limit is logged once, not at each check.
+func TestMemoryWatch(t *testing.T) {
+	held := int64(heldMemory() / bytesPerMb)
+	watch := memoryWatch{log: logging.Nop(), limitMb: max(1, held/2)}
+	watch.check()
+	if !watch.isNear {
+		t.Error("memory over its limit is not near it")
+	}
+	watch.limitMb = 100 * (held + 1)
+	watch.check()
+	if watch.isNear {
+		t.Error("memory far below its limit is near it")
+	}
+}
+
 // TestSettledFile: a file that is invalid and stays so is rejected, one that becomes valid in time is read.
 func TestSettledFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.toml")
--- a/internal/process/settingsfile.go
+++ b/internal/process/settingsfile.go
@@ -104,12 +104,14 @@
 func (p *Process) watchSettings(hangups <-chan os.Signal, quit <-chan struct{}) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
+	memory := memoryWatch{log: p.Log, limitMb: p.Settings.Limits.MemoryMb}
 	for {
 		cause := causeChange
 		select {
 		case <-hangups:
 			cause = causeSignal
 		case <-ticker.C:
+			memory.check()
 		case <-quit:
 			return nil
 		}
--- a/internal/process/start_test.go
+++ b/internal/process/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"os"
 	"strings"
@@ -234,3 +235,42 @@
 		})
 	}
 }
+
+// TestFewDescriptors guards against an end, or a listener that is given up, when there are no more descriptors.
+func TestFewDescriptors(t *testing.T) {
+	n := newNode(t, "object-cache")
+	if err := testbed.WriteSettings(n.file, n.settings); err != nil {
+		t.Fatal(err)
+	}
+	shell := newNode(t, "object-cache")
+	wrapper := shell.dir + "/limited"
+	script := "#!/bin/sh\nulimit -n 40\nexec " + comethold + " \"$@\"\n"
+	if err := os.WriteFile(wrapper, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	kept := &safeBuffer{}
+	started, err := testbed.Start(t.Context(), testbed.Command{
+		Binary: wrapper, Program: n.program, SettingsFile: n.file, Log: kept,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Kill)
+	i := &instance{Process: started, t: t, log: kept}
+	i.awaitAccepting(n.internalAddress())
+	held := make([]net.Conn, 0, 200)
+	for range cap(held) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", n.internalAddress())
+		cancel()
+		if err == nil {
+			held = append(held, conn)
+		}
+	}
+	i.awaitLine(`"event":114`)
+	for _, conn := range held {
+		_ = conn.Close()
+	}
+	i.awaitLine(`"event":115`)
+	i.wantStop()
+}
