Scatter: a panic in an attempt costs its request, not the process

TestPanicCostsOneRequest, without the change: "panic: broken rate limit", the test binary ends. With it: the request is refused at once, the next one is served.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -225,6 +226,14 @@
 	if cause == nil {
 		return
 	}
-	x.log.Error(logging.RequestPanic).Any("panic", cause).Msg("request handler panicked")
+	logPanic(x.log, cause)
 	x.reject(&rejection{status: http.StatusInternalServerError, reason: "internal failure"})
 }
+
+// logPanic logs a panic that costs one request.
+func logPanic(log *logging.Logger, cause any) {
+	log.Error(logging.RequestPanic).
+		Any("panic", cause).
+		Str("stack", string(debug.Stack())).
+		Msg("the handling of a request panicked")
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -52,7 +52,11 @@
 		Program:  settings.DataPlane,
 		Network:  network,
 	})
-	options := scatter.Options{Clusters: client.Upstreams, RetryBudget: client.RetryBudget}
+	options := scatter.Options{
+		Clusters:    client.Upstreams,
+		RetryBudget: client.RetryBudget,
+		OnPanic:     func(cause any) { logPanic(log, cause) },
+	}
 	if set.Estimates.Enabled {
 		options.Latencies = latencyestimate.NewCollector(time.Now())
 		options.ShadowShare = set.Estimates.ShadowShare
--- a/internal/scatter/attempt.go
+++ b/internal/scatter/attempt.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 // runs in a goroutine of its own, which ends by the request's deadline, and may
 // outlast the fan-out.
 func (f *fanOut) perform(a *attempt) {
+	defer f.recoverPanic(a)
 	if !f.awaitTurn(a) {
 		f.Clusters.Release(a.endpoint)
 		a.enter(attemptCancelled)
@@ -71,6 +73,30 @@
 	}
 }
 
+// recoverPanic ends an attempt that panicked: before its call as one that was cancelled, during it as one whose
+// response was lost. It must be deferred directly: recover works only there.
+func (f *fanOut) recoverPanic(a *attempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if f.OnPanic != nil {
+		f.OnPanic(cause)
+	}
+	switch a.current() {
+	case attemptQueued:
+		f.Clusters.Release(a.endpoint)
+		a.enter(attemptCancelled)
+	case attemptSent, attemptHedged:
+		a.response = nil
+		a.err = fmt.Errorf("%w: panic: %v", upstream.ErrResponseLost, cause)
+		a.enter(attemptCompleted)
+	case attemptCompleted, attemptCancelled:
+		return // it was delivered
+	}
+	f.deliver(a)
+}
+
 // awaitTurn waits until the service's rate limit allows the call of an attempt. It reports
 // false if the call must not be made: the limit allows none in time, or the client has left.
 func (f *fanOut) awaitTurn(a *attempt) bool {
--- a/internal/scatter/attempt_test.go
+++ b/internal/scatter/attempt_test.go
@@ -1,10 +1,14 @@
 package scatter
 
 import (
+	"context"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"comethold/internal/latencyestimate"
+	"comethold/internal/routing"
 	"comethold/internal/upstream"
 )
 
@@ -72,3 +76,29 @@
 		}
 	}
 }
+
+// TestPanicCostsOneRequest guards against a panic in an attempt that ends the process, or leaves its request waiting.
+func TestPanicCostsOneRequest(t *testing.T) {
+	leafs := newLeafSet(t, func(w http.ResponseWriter, _ *http.Request, _ int64) { succeed(w, "body") }, "s-0", "s-1")
+	var panics atomic.Int64
+	leafs.dispatcher.OnPanic = func(any) { panics.Add(1) }
+	leafs.dispatcher.AwaitRate = func(context.Context, string, time.Time) (bool, time.Duration) {
+		if panics.Load() == 0 {
+			panic("broken rate limit")
+		}
+		return true, 0
+	}
+	started := time.Now()
+	if reply := leafs.dispatch(routing.Route{TimeoutMs: 20000}); reply.Status == http.StatusOK {
+		t.Error("the request whose attempt panicked has succeeded")
+	}
+	if waited := time.Since(started); waited > 10*time.Second {
+		t.Errorf("it was answered after %v", waited)
+	}
+	if panics.Load() != 1 {
+		t.Errorf("%d panics were told", panics.Load())
+	}
+	if reply := leafs.dispatch(routing.Route{}); reply.Status != http.StatusOK {
+		t.Errorf("the next request is answered with %d", reply.Status)
+	}
+}
--- a/internal/scatter/dispatcher.go
+++ b/internal/scatter/dispatcher.go
@@ -28,6 +28,9 @@
 	// replica too, for comparison only.
 	Latencies   *latencyestimate.Collector
 	ShadowShare float64
+
+	// OnPanic, if set, is called with the value of a panic in an attempt. It may be called from several goroutines.
+	OnPanic func(cause any)
 }
 
 // Dispatcher carries requests to endpoints. It is safe for concurrent use.
