Storage: a start that waits for its file logs each fault once

The control plane logged 202 five times a second, the object cache 702 as often as it tried, while the file was locked or missing (seen in TestStorageLockedByPredecessor's logs). Each new fault is logged once now; 206 and 701 tell the end, as before.

--- a/internal/controlplane/startup.go
+++ b/internal/controlplane/startup.go
@@ -34,6 +34,7 @@
 // openStorage opens the storage and retries until it succeeds or the server stops. Until then
 // this node sends nothing to the others and rejects calls.
 func (s *Server) openStorage() {
+	lastFault := ""
 	for ; ; time.Sleep(storage.RetryDelay) {
 		select {
 		case <-s.quit:
@@ -44,7 +45,10 @@
 		if err == nil {
 			return
 		}
-		s.logDiskFault(err)
+		if fault := err.Error(); fault != lastFault {
+			lastFault = fault
+			s.logDiskFault(err)
+		}
 	}
 }
 
--- a/internal/objectcache/diskstore/store.go
+++ b/internal/objectcache/diskstore/store.go
@@ -116,23 +116,34 @@
 	}
 }
 
-// openFile opens the store's file. It retries until that succeeds or the store is closed.
+// openFile opens the store's file. It retries until that succeeds or the store is closed, and logs each new fault.
 func (s *Store) openFile() {
-	path := filepath.Join(s.directory, fileName)
+	lastFault := ""
 	for ; !s.isClosed(); time.Sleep(openRetryInterval) {
-		db, err := s.disk.Open(path)
-		if errors.Is(err, storage.ErrCorrupt) {
-			s.log.Warn(logging.DiskCacheDropped).Err(err).Msg("the objects on disk cannot be read and are dropped")
-			if err = s.disk.Remove(path); err == nil {
-				db, err = s.disk.Open(path)
-			}
-		}
+		db, err := s.tryOpenFile()
 		if err == nil {
 			s.opened <- db
 			return
 		}
-		s.log.Warn(logging.DiskCacheDropped).Err(err).Msg("the objects on disk cannot be opened; trying again")
+		if fault := err.Error(); fault != lastFault {
+			lastFault = fault
+			s.log.Warn(logging.DiskCacheDropped).Err(err).Msg("the objects on disk cannot be opened; trying again")
+		}
+	}
+}
+
+// tryOpenFile opens the store's file. One that can't be read is replaced by an empty one.
+func (s *Store) tryOpenFile() (*bolt.DB, error) {
+	path := filepath.Join(s.directory, fileName)
+	db, err := s.disk.Open(path)
+	if !errors.Is(err, storage.ErrCorrupt) {
+		return db, err
+	}
+	s.log.Warn(logging.DiskCacheDropped).Err(err).Msg("the objects on disk cannot be read and are dropped")
+	if err := s.disk.Remove(path); err != nil {
+		return nil, err
 	}
+	return s.disk.Open(path)
 }
 
 // readPurgeIndex returns the log index of the purges applied to a file; 0: none.
