Soak: real programs under series of signals, restarts, changes and traffic

A plan is drawn from a seed: SIGHUP, SIGTERM, SIGKILL, SIGSTOP and SIGCONT in series and overlapping, kills and signals during the start, held ports, all control nodes killed at once. Clients and an operator go on meanwhile. Judged: Fault, MIXED, UNASKED, TWICE, REFUSED, LOST, RECOVER.

--- /dev/null
+++ b/internal/soak/cmd/soak/main.go
@@ -0,0 +1,117 @@
+// Command soak plays soaks of the programs as real processes; see docs/testing.md. It exits with 0 if all rules held, 1
+// if one was broken, and 2 if a run could not be played.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"comethold/internal/soak"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitBroken  = 1
+	exitFailure = 2
+)
+
+// runMargin is how much longer than its disruptions a run may take.
+const runMargin = 3 * time.Minute
+
+var errBroken = errors.New("a rule was broken")
+
+// options are the flags.
+type options struct {
+	size     soak.Size
+	seed     uint64
+	runs     uint64
+	duration time.Duration
+	binary   string
+	keep     string
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	switch {
+	case errors.Is(err, errBroken):
+		os.Exit(exitBroken)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func newCommand() *cobra.Command {
+	o := &options{}
+	command := &cobra.Command{
+		Use:           "soak",
+		Short:         "Play the programs as real processes under disruptions drawn from seeds",
+		Example:       "  soak --binary target/comethold --seed 1 --runs 50 --duration 30s",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(c *cobra.Command, _ []string) error { return run(c.Context(), o) },
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.binary, "binary", "target/comethold", "the program")
+	flags.StringVar(&o.keep, "keep", "", "folder for plans, settings and logs; none: they are removed if the rules held")
+	flags.Uint64Var(&o.seed, "seed", 1, "first seed")
+	flags.Uint64Var(&o.runs, "runs", 1, "how many seeds")
+	flags.DurationVar(&o.duration, "duration", 30*time.Second, "of the disruptions of a run")
+	flags.IntVar(&o.size.ControlNodes, "control-nodes", 3, "control nodes")
+	flags.IntVar(&o.size.Proxies, "proxies", 3, "proxies")
+	flags.IntVar(&o.size.ObjectCaches, "object-caches", 1, "object caches")
+	flags.IntVar(&o.size.Clients, "clients", 8, "clients")
+	return command
+}
+
+func run(ctx context.Context, o *options) error {
+	var failed error
+	for seed := o.seed; seed < o.seed+o.runs && ctx.Err() == nil; seed++ {
+		held, err := runSeed(ctx, o, seed)
+		if err != nil {
+			return err
+		}
+		if !held {
+			failed = errBroken
+		}
+	}
+	return failed
+}
+
+// runSeed plays one seed, and reports whether the rules held.
+func runSeed(ctx context.Context, o *options, seed uint64) (held bool, err error) {
+	dir, err := os.MkdirTemp(o.keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.duration+runMargin)
+	defer cancel()
+	progress := func(line string) { fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, line) }
+	report, err := soak.Run(ctx, soak.Draw(seed, o.duration, o.size), o.binary, dir, progress)
+	if err != nil {
+		return false, err
+	}
+	raw, err := json.Marshal(report)
+	if err != nil {
+		return false, err
+	}
+	fmt.Println(string(raw))
+	held = len(report.Breaks) == 0
+	if held && o.keep == "" {
+		return true, os.RemoveAll(dir)
+	}
+	fmt.Fprintln(os.Stderr, "kept:", filepath.Clean(dir))
+	return held, nil
+}
