Metering: the test of report calls runs on simulated time, beside one of a suspension

Both texts were the test's own lateness: "a call ended after its lease" was measured by the test's goroutine, which needed to run again within 150 ms; "a call came 2 times" was a call of the round before that the starved stand-in read only then. The test now runs in a synctest bubble, on connections in memory on which what was written arrives even if its writer closes. It is stricter: a call must be over leaseSafetyMargin before its lease (it was: before the lease), and all that is on its way must have arrived (it waited 2 ms).

Whether the product is at fault: a process that is suspended between its last look at the lease and the write does write later. No margin prevents that. TestSuspendedReportCall holds what is left to us: at most one call, under its own fence, counted as made when it ended.

--- a/internal/controlplane/metering/platform_test.go
+++ b/internal/controlplane/metering/platform_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,14 +21,18 @@
 	"comethold/internal/simulation"
 )
 
+// platformAddress is the address of a faultyPlatform. Nothing listens there: calls reach it through its network.
+const platformAddress = "192.0.2.1:80"
+
 // faultyPlatform takes calls and ends them in the ways that platforms do.
 type faultyPlatform struct {
-	listener net.Listener
+	suspension time.Duration // of the caller's process, between its decision to write and the write
 
 	mu           sync.Mutex // guards the fields below
 	rng          *rand.Rand
 	received     int
 	lastReceived time.Time
+	lastFence    string
 	accepted     bool // the status of the newest call was good
 }
 
@@ -41,20 +48,18 @@
 	noContent     = "HTTP/1.1 204 No Content\r\n\r\n"
 )
 
-func newFaultyPlatform(t *testing.T, seed int) *faultyPlatform {
-	t.Helper()
-	listener := listen(t)
-	platform := &faultyPlatform{listener: listener, rng: rand.New(rand.NewSource(int64(seed)))}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go platform.serve(conn)
-		}
-	}()
-	return platform
+func newFaultyPlatform(seed int) *faultyPlatform {
+	return &faultyPlatform{rng: rand.New(rand.NewSource(int64(seed)))}
+}
+
+// network connects to the platform in memory, so that a test can run on simulated time.
+func (p *faultyPlatform) network(time.Duration, time.Duration) rpc.DialFunc {
+	return func(context.Context, string, string) (net.Conn, error) {
+		caller, platform := newMemoryConns()
+		caller.suspension = p.suspension
+		go p.serve(platform) // ends with the connection
+		return caller, nil
+	}
 }
 
 func listen(t *testing.T) net.Listener {
@@ -67,7 +72,7 @@
 	return listener
 }
 
-func (p *faultyPlatform) serve(conn net.Conn) {
+func (p *faultyPlatform) serve(conn *memoryConn) {
 	defer func() { _ = conn.Close() }()
 	p.mu.Lock()
 	delay := time.Duration(p.rng.Intn(20)) * time.Millisecond
@@ -95,12 +100,13 @@
 	if err == nil && len(body) > 0 || request.Method != http.MethodPost {
 		p.received++
 		p.lastReceived = time.Now()
+		p.lastFence = request.Header.Get(fencingTokenHeader)
 	}
 	return outcome
 }
 
 // respond reports whether the connection stays open.
-func (p *faultyPlatform) respond(conn net.Conn, outcome int) bool {
+func (p *faultyPlatform) respond(conn *memoryConn, outcome int) bool {
 	switch outcome {
 	case 0:
 		fmt.Fprint(conn, okResponse)
@@ -112,9 +118,7 @@
 	case 3:
 		return false
 	case 4:
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		conn.reset()
 		return false
 	case 5:
 		fmt.Fprint(conn, truncatedHead)
@@ -122,7 +126,7 @@
 	case 6, 7:
 		status := 301 + 6*(outcome-6)
 		fmt.Fprintf(conn, "HTTP/1.1 %d Elsewhere\r\nLocation: http://%s/elsewhere\r\nContent-Length: 0\r\n\r\n",
-			status, p.listener.Addr())
+			status, platformAddress)
 	case 8: // silence
 		_, _ = conn.Read(make([]byte, 1))
 		return false
@@ -161,27 +165,59 @@
 // process is killed.
 func TestReportCalls(t *testing.T) {
 	for seed := range simulation.SeedCount(2) {
-		platform := newFaultyPlatform(t, seed)
-		lease := &fakeLease{}
-		client := NewPlatformClient(PlatformClientOptions{
-			Network:       rpc.TCPNetwork,
-			Address:       platform.listener.Addr().String(),
-			NodeName:      "n1",
-			Lease:         lease,
-			LeaseDuration: time.Second,
-			StartedAt:     time.Now().Add(-time.Hour),
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform, lease := newFaultyPlatform(seed), &fakeLease{}
+				client := newTestPlatformClient(platform, lease)
+				for call := range uint64(40) {
+					checkCall(t, platform, lease, client, call+1)
+				}
+			})
 		})
-		for call := range uint64(40) {
-			checkCall(t, platform, lease, client, call+1)
-		}
-		_ = platform.listener.Close()
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
-		}
 	}
 	checkLinger(t)
 }
 
+// TestSuspendedReportCall guards against a call that a suspended process repeats, forgets, or makes under another fence.
+func TestSuspendedReportCall(t *testing.T) {
+	for _, suspension := range []time.Duration{200 * time.Millisecond, 2 * time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			platform, lease := newFaultyPlatform(0), &fakeLease{}
+			platform.suspension = suspension
+			client := newTestPlatformClient(platform, lease)
+			const term = 7
+			lease.set(term, time.Now().Add(leaseSafetyMargin+60*time.Millisecond))
+			_ = client.call(t.Context(), []byte("{}"), term) // it may have failed
+			synctest.Wait()
+			ended := time.Now()
+			time.Sleep(suspension + time.Second)
+			platform.mu.Lock()
+			received, fence := platform.received, platform.lastFence
+			platform.mu.Unlock()
+			if received > 1 || received == 1 && fence != strconv.Itoa(term) {
+				t.Errorf("suspended for %v: %d calls, the last with fence %s", suspension, received, fence)
+			}
+			if err := client.call(t.Context(), []byte("{}"), term); !errors.Is(err, ErrLeaseExpired) {
+				t.Errorf("suspended for %v: the next call: %v", suspension, err)
+			}
+			if client.MayCall(term+1, ended.Add(time.Second)) {
+				t.Errorf("suspended for %v: another term may call as if there had been no call", suspension)
+			}
+		})
+	}
+}
+
+func newTestPlatformClient(platform *faultyPlatform, lease *fakeLease) *PlatformClient {
+	return NewPlatformClient(PlatformClientOptions{
+		Network:       platform.network,
+		Address:       platformAddress,
+		NodeName:      "n1",
+		Lease:         lease,
+		LeaseDuration: time.Second,
+		StartedAt:     time.Now().Add(-time.Hour),
+	})
+}
+
 // checkCall makes a call under a term, and one under the term before.
 func checkCall(t *testing.T, platform *faultyPlatform, lease *fakeLease, client *PlatformClient, term uint64) {
 	t.Helper()
@@ -191,10 +227,10 @@
 	expiresAt := time.Now().Add(leaseSafetyMargin + 60*time.Millisecond)
 	lease.set(term, expiresAt)
 	err := client.call(t.Context(), []byte("{}"), term)
-	if time.Now().After(expiresAt) {
-		t.Error("a call ended after its lease")
+	if left := time.Until(expiresAt); left < leaseSafetyMargin {
+		t.Errorf("a call ended %v before the end of its lease", left)
 	}
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(2 * leaseSafetyMargin) // what is on its way arrives
 	platform.mu.Lock()
 	received, lastReceived, accepted := platform.received, platform.lastReceived, platform.accepted
 	platform.mu.Unlock()
