--- a/internal/controlplane/metering/platform_test.go
+++ b/internal/controlplane/metering/platform_test.go
@@ -178,7 +178,7 @@
 	checkLinger(t)
 }
 
-// TestSuspendedReportCall guards against a call that a suspended process repeats, forgets, or makes under another fence.
+// TestSuspendedReportCall guards against a call that a suspended process repeats, forgets, or gives another fence.
 func TestSuspendedReportCall(t *testing.T) {
 	for _, suspension := range []time.Duration{200 * time.Millisecond, 2 * time.Second, time.Minute} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/process/log_test.go
+++ b/internal/process/log_test.go
@@ -101,3 +101,18 @@
 	i.signal(syscall.SIGHUP)
 	time.Sleep(200 * time.Millisecond)
 }
+
+// TestTraceWhileLogIsNotRead guards against an end by the runtime that waits for the reader of the log.
+func TestTraceWhileLogIsNotRead(t *testing.T) {
+	n := newNode(t, "object-cache")
+	_, writer := logPipe(t)
+	fillPipe(t, writer)
+	i := n.startLoggingTo(t, writer)
+	i.awaitAccepting(n.internalAddress())
+	i.signal(syscall.SIGQUIT)
+	select {
+	case <-i.Exited():
+	case <-time.After(patience):
+		t.Error("it runs on after SIGQUIT")
+	}
+}
--- a/internal/process/program_test.go
+++ b/internal/process/program_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -158,3 +159,17 @@
 		t.Errorf("the content is %q", file.last)
 	}
 }
+
+// TestPassingErrors holds which errors the start waits out.
+func TestPassingErrors(t *testing.T) {
+	for _, passing := range []error{syscall.EADDRINUSE, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOSPC} {
+		if !isPassing(&os.PathError{Err: passing}) {
+			t.Errorf("%v does not pass", passing)
+		}
+	}
+	for _, lasting := range []error{syscall.EADDRNOTAVAIL, syscall.EACCES, syscall.ENOTDIR, syscall.EINVAL} {
+		if isPassing(&os.PathError{Err: lasting}) {
+			t.Errorf("%v passes", lasting)
+		}
+	}
+}
--- a/internal/process/signals_test.go
+++ b/internal/process/signals_test.go
@@ -163,6 +163,25 @@
 	i.wantStop()
 }
 
+// realTimeSignal is one of the signals that have no meaning of their own.
+const realTimeSignal = syscall.Signal(40)
+
+// TestSignalsWhileStopping guards against signals that end, or hold up, a stop that is under way.
+func TestSignalsWhileStopping(t *testing.T) {
+	n := newNode(t, "data-plane")
+	i := n.start(t)
+	i.awaitAccepting(n.internalAddress())
+	i.signal(syscall.SIGTERM)
+	i.awaitLine(`"event":102`)
+	for range 5 {
+		i.signal(syscall.SIGHUP)
+		i.signal(syscall.SIGTERM)
+		i.signal(syscall.SIGINT)
+		time.Sleep(20 * time.Millisecond)
+	}
+	i.wantEnd(0)
+}
+
 // TestSignalsInService holds what each signal does to a process in service.
 func TestSignalsInService(t *testing.T) {
 	cases := []struct {
@@ -184,8 +203,19 @@
 		{signal: syscall.SIGWINCH, survives: true},
 		{signal: syscall.SIGXCPU, survives: true},
 		{signal: syscall.SIGXFSZ, survives: true},
-		{signal: syscall.SIGQUIT, code: 2, lastLine: ""},
-		{signal: syscall.SIGABRT, code: 2, lastLine: ""},
+		{signal: syscall.SIGVTALRM, survives: true},
+		{signal: syscall.SIGPROF, survives: true},
+		{signal: syscall.SIGIO, survives: true},
+		{signal: syscall.SIGPWR, survives: true},
+		{signal: realTimeSignal, survives: true},
+		{signal: syscall.SIGILL, code: 2},
+		{signal: syscall.SIGTRAP, code: 2},
+		{signal: syscall.SIGBUS, code: 2},
+		{signal: syscall.SIGFPE, code: 2},
+		{signal: syscall.SIGSEGV, code: 2},
+		{signal: syscall.SIGSYS, code: 2},
+		{signal: syscall.SIGQUIT, code: 2},
+		{signal: syscall.SIGABRT, code: 2},
 		{signal: syscall.SIGKILL, code: -1, endedBy: syscall.SIGKILL},
 	}
 	for _, test := range cases {
