--- a/internal/loadtest/cluster.go
+++ b/internal/loadtest/cluster.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -40,8 +39,8 @@
 	processes   []*testbed.Process // control nodes first, then real proxies
 	platform    testbed.Platform
 	hollowNodes []*hollowNode
-	servers     []*http.Server
-	running     sync.WaitGroup // goroutines of servers and hollow nodes
+	servers     testbed.Servers
+	running     sync.WaitGroup // goroutines of hollow nodes
 	version     uint64         // of the newest configuration
 }
 
@@ -63,9 +62,7 @@
 	for _, node := range c.hollowNodes {
 		node.proxy.Close()
 	}
-	for _, server := range c.servers {
-		_ = server.Close()
-	}
+	c.servers.Close()
 	for _, process := range c.processes {
 		process.Kill()
 	}
@@ -120,19 +117,6 @@
 
 func realProxyIP(i int) string { return fmt.Sprintf("127.2.0.%d", i+1) }
 
-// listen serves an address in this process.
-func (c *Cluster) listen(ctx context.Context, address string, handler http.Handler) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	c.running.Go(func() { _ = server.Serve(listener) }) // ends by Close
-	c.servers = append(c.servers, server)
-	return nil
-}
-
 // startHollowNodes starts the hollow nodes in this process.
 func (c *Cluster) startHollowNodes(ctx context.Context) error {
 	for i := range c.size.Hollow {
@@ -154,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.listen(ctx, node.proxy.InternalAddress(), node.proxy.InternalHandler()); err != nil {
+	if err := c.servers.Listen(ctx, node.proxy.InternalAddress(), node.proxy.InternalHandler()); err != nil {
 		return err
 	}
 	c.running.Go(func() { _ = node.proxy.RunUpdates() }) // both end by Close
--- a/internal/loadtest/measure.go
+++ b/internal/loadtest/measure.go
@@ -30,7 +30,7 @@
 // configuration.
 func (c *Cluster) startAll(ctx context.Context, _ *Report) error {
 	c.listUnreachableLeafs()
-	if err := c.listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
+	if err := c.servers.Listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
 		return err
 	}
 	if err := c.startControlNodes(ctx, c.size.ControlNodes); err != nil {
--- a/internal/loadtest/scatter.go
+++ b/internal/loadtest/scatter.go
@@ -69,11 +69,11 @@
 // configuration.
 func (c *Cluster) startScatter(ctx context.Context) error {
 	leaf := c.address(sharedLeafIP, leafPort)
-	if err := c.listen(ctx, leaf, http.HandlerFunc(serveShard)); err != nil {
+	if err := c.servers.Listen(ctx, leaf, http.HandlerFunc(serveShard)); err != nil {
 		return err
 	}
 	c.listSharedLeaf(leaf)
-	if err := c.listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
+	if err := c.servers.Listen(ctx, c.address(platformIP, platformPort), &c.platform); err != nil {
 		return err
 	}
 	if err := c.startControlNodes(ctx, 1); err != nil {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -27,8 +27,8 @@
 	record   *record
 	units    []*unit
 	platform testbed.Platform
-	servers  []*http.Server
-	running  sync.WaitGroup // goroutines of servers and units
+	servers  testbed.Servers
+	running  sync.WaitGroup // goroutines of units and events
 }
 
 func newFleet(plan Plan, binary, dir string) *Fleet {
@@ -46,13 +46,13 @@
 	if err := os.MkdirAll(filepath.Join(f.dir, "logs"), 0o755); err != nil {
 		return err
 	}
-	if err := f.listen(ctx, at(f.host(platformHost), platformPort), &f.platform); err != nil {
+	if err := f.servers.Listen(ctx, at(f.host(platformHost), platformPort), &f.platform); err != nil {
 		return err
 	}
 	for i := range leafs {
 		id := fmt.Sprint("leaf-", i)
 		address := at(f.host(firstLeafHost+i), leafPort)
-		if err := f.listen(ctx, address, &leaf{id: id, record: f.record}); err != nil {
+		if err := f.servers.Listen(ctx, address, &leaf{id: id, record: f.record}); err != nil {
 			return err
 		}
 		f.platform.Add(testbed.Instance{
@@ -84,19 +84,6 @@
 	return u, testbed.WriteSettings(u.file, u.settings)
 }
 
-// listen serves an address in this process.
-func (f *Fleet) listen(ctx context.Context, address string, handler http.Handler) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	f.running.Go(func() { _ = server.Serve(listener) }) // ends by close
-	f.servers = append(f.servers, server)
-	return nil
-}
-
 // stop ends all processes by SIGTERM, then the stand-ins, and waits for them.
 func (f *Fleet) stop() {
 	for _, u := range f.units {
@@ -110,9 +97,7 @@
 			<-process.Exited() // awaitStop kills it in the end
 		}
 	}
-	for _, server := range f.servers {
-		_ = server.Close()
-	}
+	f.servers.Close()
 	f.running.Wait()
 }
 
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -131,3 +131,24 @@
 		t.Errorf("%d instances, %v", len(states), states)
 	}
 }
+
+// TestServers: an address is served until Close, and free again after it.
+func TestServers(t *testing.T) {
+	const address = "127.94.7.1:20030"
+	for range 2 {
+		var servers Servers
+		if err := servers.Listen(t.Context(), address, &Platform{}); err != nil {
+			t.Fatal(err)
+		}
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		servers.Close()
+	}
+}
