--- a/internal/loadtest/measure.go
+++ b/internal/loadtest/measure.go
@@ -4,6 +4,8 @@
 	"context"
 	"os"
 	"time"
+
+	"comethold/internal/testbed"
 )
 
 const (
@@ -48,7 +50,7 @@
 
 // measureStart starts all hollow nodes at once.
 func (c *Cluster) measureStart(ctx context.Context, report *Report) error {
-	memoryBefore := memoryUsage(os.Getpid()).RSSMb
+	memoryBefore := testbed.MemoryOf(os.Getpid()).Now
 	start := time.Now()
 	if err := c.startHollowNodes(ctx); err != nil {
 		return err
@@ -62,7 +64,7 @@
 	report.Start = time.Since(start)
 	report.StartBytes = c.bytesPerNode(c.transferredBytes())
 	time.Sleep(c.size.Rest / 2)
-	report.HollowMb = c.bytesPerNode(memoryUsage(os.Getpid()).RSSMb - memoryBefore)
+	report.HollowMb = c.bytesPerNode(testbed.MemoryOf(os.Getpid()).Now - memoryBefore)
 	return nil
 }
 
@@ -142,13 +144,13 @@
 	start := time.Now()
 	secondsBefore := make([]float64, len(c.processes))
 	for i, process := range c.processes {
-		secondsBefore[i] = processorSeconds(process.PID())
+		secondsBefore[i] = testbed.ProcessorSeconds(process.PID())
 	}
 	time.Sleep(span)
 	elapsed := time.Since(start).Seconds()
 	for i, process := range c.processes {
 		one := memoryUsage(process.PID())
-		one.CPU = (processorSeconds(process.PID()) - secondsBefore[i]) / elapsed
+		one.CPU = (testbed.ProcessorSeconds(process.PID()) - secondsBefore[i]) / elapsed
 		used = append(used, one)
 	}
 	return used, c.bytesPerNode(c.transferredBytes()-bytesBefore) / elapsed
--- a/internal/loadtest/report.go
+++ b/internal/loadtest/report.go
@@ -1,6 +1,10 @@
 package loadtest
 
-import "time"
+import (
+	"time"
+
+	"comethold/internal/testbed"
+)
 
 // Size is the size of a system, and the load and duration of its measurement.
 type Size struct {
@@ -34,6 +38,12 @@
 	Peak  float64 // highest resident memory, in MB
 }
 
+// memoryUsage returns the memory of a process; the CPU field is 0.
+func memoryUsage(pid int) Usage {
+	memory := testbed.MemoryOf(pid)
+	return Usage{RSSMb: memory.Now, Peak: memory.Peak}
+}
+
 // Report is the result of a run. It is printed as JSON with the field names of earlier reports.
 type Report struct {
 	Size         Size
--- a/internal/loadtest/scatter.go
+++ b/internal/loadtest/scatter.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"comethold/internal/testbed"
 )
 
 const (
@@ -53,12 +55,12 @@
 	load.run(ctx, c.size.Rest/2) // warm-up: opens connections
 	load.answers = nil
 	pid := c.processes[1].PID() // after the control node
-	secondsBefore := processorSeconds(pid)
+	secondsBefore := testbed.ProcessorSeconds(pid)
 	start := time.Now()
 	load.run(ctx, c.size.Rest)
 	elapsed := time.Since(start).Seconds()
 	report := &ScatterReport{Shards: c.size.shards(), Leafs: c.size.Leafs, Proxy: memoryUsage(pid)}
-	report.Proxy.CPU = (processorSeconds(pid) - secondsBefore) / elapsed
+	report.Proxy.CPU = (testbed.ProcessorSeconds(pid) - secondsBefore) / elapsed
 	if !report.summarize(load.answers, elapsed) {
 		return nil, net.ErrClosed
 	}
--- a/internal/soak/cmd/soak/main.go
+++ b/internal/soak/cmd/soak/main.go
@@ -31,12 +31,13 @@
 
 // options are the flags.
 type options struct {
-	size     soak.Size
-	seed     uint64
-	runs     uint64
-	duration time.Duration
-	binary   string
-	keep     string
+	size      soak.Size
+	seed      uint64
+	runs      uint64
+	duration  time.Duration
+	binary    string
+	keep      string
+	raceBuilt bool
 }
 
 func main() {
@@ -65,6 +66,7 @@
 	}
 	flags := command.Flags()
 	flags.StringVar(&o.binary, "binary", "target/comethold", "the program")
+	flags.BoolVar(&o.raceBuilt, "race-built", false, "the program has the race detector: its memory is not judged")
 	flags.StringVar(&o.keep, "keep", "", "folder for plans, settings and logs; none: they are removed if the rules held")
 	flags.Uint64Var(&o.seed, "seed", 1, "first seed")
 	flags.Uint64Var(&o.runs, "runs", 1, "how many seeds")
@@ -99,7 +101,9 @@
 	ctx, cancel := context.WithTimeout(ctx, o.duration+runMargin)
 	defer cancel()
 	progress := func(line string) { fmt.Fprintf(os.Stderr, "seed %d: %s\n", seed, line) }
-	report, err := soak.Run(ctx, soak.Draw(seed, o.duration, o.size), o.binary, dir, progress)
+	plan := soak.Draw(seed, o.duration, o.size)
+	plan.RaceBuilt = o.raceBuilt
+	report, err := soak.Run(ctx, plan, o.binary, dir, progress)
 	if err != nil {
 		return false, err
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -55,6 +55,8 @@
 	Duration time.Duration `json:"duration"` // of the disruptions
 	Size     Size          `json:"size"`
 	Events   []Event       `json:"events"`
+	// RaceBuilt says that the programs are built with the race detector, which takes memory of its own.
+	RaceBuilt bool `json:"raceBuilt"`
 }
 
 // Size says how many processes a run has.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -36,9 +36,18 @@
 	breaks   []Break
 	requests map[string]*request // by ID
 	events   int
+	peak     map[string]resources // by program
 }
 
-func newRecord() *record { return &record{startedAt: time.Now(), requests: map[string]*request{}} }
+// resources are what the processes of a program took at most.
+type resources struct {
+	MemoryMb    float64 `json:"memoryMb"`
+	Descriptors int     `json:"descriptors"`
+}
+
+func newRecord() *record {
+	return &record{startedAt: time.Now(), requests: map[string]*request{}, peak: map[string]resources{}}
+}
 
 // broken notes a broken rule.
 func (r *record) broken(rule Rule, format string, arguments ...any) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,8 @@
 	Versions uint64  `json:"versions"` // configurations acknowledged
 	Breaks   []Break `json:"breaks"`
 	Summary  string  `json:"summary"`
+
+	Peak map[string]resources `json:"peak"` // by program
 }
 
 // Run plays a plan with a binary. Settings, data, logs and the plan are written below dir. progress gets a line every
@@ -67,6 +69,7 @@
 	traffic, stopTraffic := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	callers.Go(func() { o.run(traffic) })
+	callers.Go(func() { f.watchResources(traffic) })
 	for number := range f.plan.Size.Clients {
 		callers.Go(func() { newClient(f, number).run(traffic) })
 	}
@@ -137,6 +140,7 @@
 	f.record.mu.Lock()
 	defer f.record.mu.Unlock()
 	r.Events, r.Requests, r.Breaks = f.record.events, len(f.record.requests), f.record.breaks
+	r.Peak = f.record.peak
 	for _, q := range f.record.requests {
 		if q.status == http.StatusOK {
 			r.Served++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,7 +25,9 @@
 	size := Size{ControlNodes: 3, Proxies: 3, ObjectCaches: 1, Clients: 4}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 	defer cancel()
-	report, err := Run(ctx, Draw(seed, duration, size), binary, t.TempDir(), func(line string) { t.Log(line) })
+	plan := Draw(seed, duration, size)
+	plan.RaceBuilt = true
+	report, err := Run(ctx, plan, binary, t.TempDir(), func(line string) { t.Log(line) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loadtest/procfs.go
+++ b/internal/testbed/procfs.go
@@ -1,4 +1,4 @@
-package loadtest
+package testbed
 
 import (
 	"bytes"
@@ -19,8 +19,8 @@
 	statSystemTicks = 12
 )
 
-// processorSeconds returns the processor time that a process has used; 0 if it has ended.
-func processorSeconds(pid int) float64 {
+// ProcessorSeconds returns the processor time that a process has used; 0 if it has ended.
+func ProcessorSeconds(pid int) float64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0
@@ -31,9 +31,14 @@
 	return (user + system) / ticksPerSecond
 }
 
-// memoryUsage returns the memory of a process; the CPU field is 0.
-func memoryUsage(pid int) Usage {
-	var used Usage
+// Memory is the resident memory of a process, in MB.
+type Memory struct {
+	Now  float64
+	Peak float64
+}
+
+// MemoryOf returns the memory of a process; 0 if it has ended.
+func MemoryOf(pid int) (memory Memory) {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)) // if the process has ended: 0
 	for line := range strings.Lines(string(raw)) {
 		fields := strings.Fields(line)
@@ -43,10 +48,16 @@
 		kilobytes, _ := strconv.ParseFloat(fields[1], 64)
 		switch fields[0] {
 		case "VmRSS:":
-			used.RSSMb = kilobytes / kilobytesPerMb
+			memory.Now = kilobytes / kilobytesPerMb
 		case "VmHWM:":
-			used.Peak = kilobytes / kilobytesPerMb
+			memory.Peak = kilobytes / kilobytesPerMb
 		}
 	}
-	return used
+	return memory
+}
+
+// DescriptorsOf returns how many descriptors a process has open; 0 if it has ended.
+func DescriptorsOf(pid int) int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // if the process has ended: none
+	return len(entries)
 }
